whole: a thin path from caller to worker and minion

A job or a request goes from a caller through any entry instance to its owner, to the heir for an acknowledgement, and to workers or minions; the log orders membership, claims and configuration. Stand-ins serve the platform's side.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+.PHONY: test format lint race model build faults fuzz bench
+
+# The whole check: formatter, linters, race tests and the model check.
+test: format lint race model
+	@echo "all checks passed"
+
+format:
+	@out=$$(go tool gofumpt -l cmd internal); \
+	if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+
+lint:
+	go vet ./...
+	go tool staticcheck ./...
+	go tool revive -config revive.toml -set_exit_status ./...
+
+race:
+	go test -race -timeout 20m ./...
+
+model:
+	@echo "no model yet"
+
+build:
+	go build -o bin/ ./cmd/...
--- /dev/null
+++ b/internal/config/policer/policy.go
@@ -0,0 +1,288 @@
+// Package policer reads the configuration that a revision carries: the policy
+// for teams, kinds of work and services. It is generated from a questionnaire
+// and never written by hand.
+package policer
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+
+	"github.com/heatherslip/heatherslip/internal/wire/namer"
+)
+
+// Bounds of what a configuration may ask for.
+const (
+	MinRemember = 10 * time.Second
+	MaxRemember = time.Hour
+	MaxTasks    = 1000
+	MaxDeadline = 10 * time.Minute
+)
+
+// Policy is a parsed configuration. It is never changed once parsed.
+type Policy struct {
+	// Domains are the failure domains among which bare keys are shared out.
+	Domains []namer.Domain
+	// Remember is how long a finished submission's key is kept.
+	Remember time.Duration
+	// Skew bounds the difference between any two clocks, clients' included.
+	Skew time.Duration
+	// Deadline is given to work that names none.
+	Deadline time.Duration
+	// Tasks bounds the tasks of one job.
+	Tasks    int
+	Teams    []Team
+	Kinds    []Kind
+	Services []Service
+}
+
+// Team is a team's section.
+type Team struct {
+	Name namer.Team
+	// Token is the SHA-256 digest, in hexadecimal, of the team's bearer token;
+	// empty where the team has none.
+	Token string
+	// Operator is set where the team may publish, drain and cancel.
+	Operator bool
+	// Quota bounds the team's tasks that wait or run in the whole fleet; zero
+	// means no bound.
+	Quota int
+}
+
+// Kind is the section of a kind of work.
+type Kind struct {
+	Name namer.Kind
+	// Weight is the kind's part of the fleet when others want it too.
+	Weight float64
+	// Deadline is given to work of this kind that names none.
+	Deadline time.Duration
+	// Wait bounds how long work of this kind is queued.
+	Wait time.Duration
+	// Unrepeatable is set where work of this kind never runs twice.
+	Unrepeatable bool
+}
+
+// Service is a service's section.
+type Service struct {
+	Name namer.Service
+}
+
+// Finding is one thing wrong with a text, with its place.
+type Finding struct {
+	Section, Key, Problem string
+}
+
+func (f Finding) String() string {
+	return fmt.Sprintf("[%s] %s: %s", f.Section, f.Key, f.Problem)
+}
+
+// Findings collects everything that is wrong with a text.
+type Findings []Finding
+
+func (f Findings) Error() string {
+	lines := make([]string, len(f))
+	for i := range f {
+		lines[i] = f[i].String()
+	}
+	return strings.Join(lines, "; ")
+}
+
+// Parse reads a configuration. Its error is Findings, all of them, or that of
+// the INI reader.
+func Parse(text string) (*Policy, error) {
+	file, err := ini.LoadSources(ini.LoadOptions{}, []byte(text))
+	if err != nil {
+		return nil, fmt.Errorf("parse configuration: %w", err)
+	}
+	r := reader{policy: &Policy{}}
+	for _, s := range file.Sections() {
+		r.section(s)
+	}
+	r.whole()
+	if len(r.findings) > 0 {
+		return nil, r.findings
+	}
+	return r.policy, nil
+}
+
+type reader struct {
+	policy   *Policy
+	findings Findings
+}
+
+func (r *reader) section(s *ini.Section) {
+	kind, name, _ := strings.Cut(s.Name(), " ")
+	switch kind {
+	case ini.DefaultSection:
+		r.keys(s)
+	case "fleet":
+		r.fleet(s)
+	case "team":
+		r.team(s, name)
+	case "kind":
+		r.kind(s, name)
+	case "service":
+		r.keys(s)
+		r.policy.Services = append(r.policy.Services, Service{Name: namer.Service(name)})
+	default:
+		r.find(s, "", "unknown section")
+	}
+}
+
+func (r *reader) find(s *ini.Section, key, problem string) {
+	r.findings = append(r.findings, Finding{Section: s.Name(), Key: key, Problem: problem})
+}
+
+// keys reports each key of the section that is not among those known.
+func (r *reader) keys(s *ini.Section, known ...string) {
+	for _, k := range s.Keys() {
+		found := false
+		for _, name := range known {
+			found = found || name == k.Name()
+		}
+		if !found {
+			r.find(s, k.Name(), "unknown key")
+		}
+	}
+}
+
+func (r *reader) fleet(s *ini.Section) {
+	r.keys(s, "domains", "remember", "skew", "deadline", "tasks")
+	for _, d := range s.Key("domains").Strings(",") {
+		r.policy.Domains = append(r.policy.Domains, namer.Domain(d))
+	}
+	r.policy.Remember = r.duration(s, "remember", MinRemember, MaxRemember)
+	r.policy.Skew = r.duration(s, "skew", time.Millisecond, time.Minute)
+	r.policy.Deadline = r.duration(s, "deadline", time.Millisecond, MaxDeadline)
+	r.policy.Tasks = r.integer(s, "tasks", 1, MaxTasks)
+}
+
+func (r *reader) team(s *ini.Section, name string) {
+	r.keys(s, "token", "role", "quota")
+	t := Team{Name: namer.Team(name), Token: s.Key("token").String()}
+	if t.Token != "" && !validDigest(t.Token) {
+		r.find(s, "token", "not a SHA-256 digest in hexadecimal")
+	}
+	switch role := s.Key("role").MustString("caller"); role {
+	case "caller":
+	case "operator":
+		t.Operator = true
+	default:
+		r.find(s, "role", "neither caller nor operator")
+	}
+	if s.HasKey("quota") {
+		t.Quota = r.integer(s, "quota", 0, 1<<30)
+	}
+	if t.Operator && t.Token == "" {
+		r.find(s, "token", "an operator needs a token")
+	}
+	r.policy.Teams = append(r.policy.Teams, t)
+}
+
+func validDigest(s string) bool {
+	b, err := hex.DecodeString(s)
+	return err == nil && len(b) == sha256.Size
+}
+
+func (r *reader) kind(s *ini.Section, name string) {
+	r.keys(s, "weight", "deadline", "wait", "unrepeatable")
+	k := Kind{Name: namer.Kind(name)}
+	w, err := s.Key("weight").Float64()
+	if err != nil || w <= 0 || w > 1000 {
+		r.find(s, "weight", "not a number above 0 and up to 1000")
+	}
+	k.Weight = w
+	k.Deadline = r.duration(s, "deadline", time.Millisecond, MaxDeadline)
+	k.Wait = r.duration(s, "wait", time.Millisecond, MaxDeadline)
+	k.Unrepeatable = s.Key("unrepeatable").MustBool(false)
+	r.policy.Kinds = append(r.policy.Kinds, k)
+}
+
+func (r *reader) duration(s *ini.Section, key string, low, high time.Duration) time.Duration {
+	d, err := time.ParseDuration(s.Key(key).String())
+	if err != nil || d < low || d > high {
+		r.find(s, key, fmt.Sprintf("not a duration from %v to %v", low, high))
+		return 0
+	}
+	return d
+}
+
+func (r *reader) integer(s *ini.Section, key string, low, high int) int {
+	n, err := s.Key(key).Int()
+	if err != nil || n < low || n > high {
+		r.find(s, key, fmt.Sprintf("not a whole number from %d to %d", low, high))
+		return 0
+	}
+	return n
+}
+
+// whole checks what no section can check alone.
+func (r *reader) whole() {
+	if len(r.policy.Domains) == 0 {
+		r.findings = append(r.findings, Finding{"fleet", "domains", "no failure domain is named"})
+	}
+	if len(r.policy.Kinds) == 0 {
+		r.findings = append(r.findings, Finding{"kind", "", "no kind of work is declared"})
+	}
+	operator := false
+	for _, t := range r.policy.Teams {
+		operator = operator || t.Operator
+	}
+	if !operator {
+		r.findings = append(r.findings, Finding{"team", "role", "no team is the operator"})
+	}
+}
+
+// KindOf returns the section of a kind, and false where it is not declared.
+func (p *Policy) KindOf(name namer.Kind) (Kind, bool) {
+	for _, k := range p.Kinds {
+		if k.Name == name {
+			return k, true
+		}
+	}
+	return Kind{}, false
+}
+
+// TeamOf returns the section of a team, and false where it is not declared.
+func (p *Policy) TeamOf(name namer.Team) (Team, bool) {
+	for _, t := range p.Teams {
+		if t.Name == name {
+			return t, true
+		}
+	}
+	return Team{}, false
+}
+
+// ErrToken says that a bearer token belongs to no team.
+var ErrToken = errors.New("the bearer token belongs to no team")
+
+// Authenticate returns the team that a bearer token belongs to. Every team's
+// digest is compared, in constant time. A call without a token belongs to the
+// team it names, where that team has none.
+func (p *Policy) Authenticate(token string, named namer.Team) (Team, error) {
+	if token == "" {
+		t, found := p.TeamOf(named)
+		if !found || t.Token != "" {
+			return Team{}, ErrToken
+		}
+		return t, nil
+	}
+	sum := sha256.Sum256([]byte(token))
+	digest := []byte(hex.EncodeToString(sum[:]))
+	found := -1
+	for i, t := range p.Teams {
+		if t.Token != "" && subtle.ConstantTimeCompare(digest, []byte(t.Token)) == 1 {
+			found = i
+		}
+	}
+	if found < 0 {
+		return Team{}, ErrToken
+	}
+	return p.Teams[found], nil
+}
--- /dev/null
+++ b/internal/edge/server/answer.go
@@ -0,0 +1,77 @@
+package server
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+
+	"github.com/heatherslip/heatherslip/internal/wire/coder"
+)
+
+// StatusOf returns the HTTP status of an answer.
+func StatusOf(a coder.Answer) int {
+	switch a.Code {
+	case "":
+		if a.Status == coder.Running {
+			return http.StatusAccepted
+		}
+		return http.StatusOK
+	case coder.CodeBadRequest:
+		return http.StatusBadRequest
+	case coder.CodeTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case coder.CodeUnauthorized:
+		return http.StatusUnauthorized
+	case coder.CodeForbidden:
+		return http.StatusForbidden
+	case coder.CodeConflict:
+		return http.StatusConflict
+	case coder.CodeExpired:
+		return http.StatusGone
+	case coder.CodeNotFound:
+		return http.StatusNotFound
+	case coder.CodeNeverFits:
+		return http.StatusUnprocessableEntity
+	case coder.CodeOverload, coder.CodeQuota:
+		return http.StatusTooManyRequests
+	case coder.CodeDeadline:
+		return http.StatusGatewayTimeout
+	case coder.CodeAnswerLost:
+		return http.StatusBadGateway
+	case coder.CodeTask, coder.CodeTaskUnknown, coder.CodeCancelled:
+		return http.StatusOK
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+const millisPerSecond = 1000
+
+// writeAnswer writes an answer with its status. Retry-After is in whole
+// seconds, rounded up; retry_ms in the body is exact.
+func writeAnswer(rw http.ResponseWriter, a coder.Answer) {
+	if a.RetryMillis > 0 {
+		seconds := (a.RetryMillis + millisPerSecond - 1) / millisPerSecond
+		rw.Header().Set("Retry-After", strconv.Itoa(seconds))
+	}
+	writeJSON(rw, StatusOf(a), a)
+}
+
+func writeFailure(rw http.ResponseWriter, err error) {
+	a := coder.Answer{Status: coder.Refused, Code: coder.CodeBadRequest, Ran: coder.RanNo, Detail: err.Error()}
+	var f *failure
+	if errors.As(err, &f) {
+		a.Code, a.Detail = f.code, f.detail
+	}
+	if a.Code == coder.CodeNotReady {
+		a.RetryMillis = millisPerSecond
+	}
+	writeAnswer(rw, a)
+}
+
+func writeJSON(rw http.ResponseWriter, status int, v any) {
+	rw.Header().Set("Content-Type", "application/json")
+	rw.WriteHeader(status)
+	_ = json.NewEncoder(rw).Encode(v)
+}
--- /dev/null
+++ b/internal/wire/coder/codec.go
@@ -0,0 +1,116 @@
+// Package coder holds the messages between entry instances and the records in
+// the platform's log, and their encoding in CBOR.
+package coder
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Version is the version of messages and records that this program writes.
+const Version = 1
+
+// MaxMessageBytes bounds one encoded message.
+const MaxMessageBytes = 8 << 20
+
+var (
+	errMessageSize   = fmt.Errorf("message is larger than %d bytes", MaxMessageBytes)
+	errOneOf         = errors.New("not exactly one part is set")
+	errVersion       = errors.New("unknown version")
+	encMode, decMode = modes()
+)
+
+func modes() (cbor.EncMode, cbor.DecMode) {
+	encOptions := cbor.CanonicalEncOptions()
+	encOptions.Time = cbor.TimeRFC3339Nano
+	enc, err := encOptions.EncMode()
+	if err != nil {
+		panic(fmt.Sprintf("cbor encoding options: %v", err))
+	}
+	dec, err := cbor.DecOptions{
+		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
+		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
+		MaxArrayElements:  1 << 17,
+	}.DecMode()
+	if err != nil {
+		panic(fmt.Sprintf("cbor decoding options: %v", err))
+	}
+	return enc, dec
+}
+
+// EncodeMessage returns the encoded form of m.
+func EncodeMessage(m *Message) ([]byte, error) {
+	b, err := encMode.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("encode message: %w", err)
+	}
+	if len(b) > MaxMessageBytes {
+		return nil, errMessageSize
+	}
+	return b, nil
+}
+
+// DecodeMessage decodes one message. Unknown fields, duplicate fields and
+// messages without exactly one part are errors.
+func DecodeMessage(b []byte) (*Message, error) {
+	if len(b) > MaxMessageBytes {
+		return nil, errMessageSize
+	}
+	var m Message
+	if err := decMode.Unmarshal(b, &m); err != nil {
+		return nil, fmt.Errorf("decode message: %w", err)
+	}
+	if m.parts() != 1 {
+		return nil, fmt.Errorf("decode message: %w", errOneOf)
+	}
+	return &m, nil
+}
+
+func (m *Message) parts() int {
+	return count(m.Hello != nil, m.Beat != nil, m.Forward != nil, m.Outcome != nil,
+		m.Replicate != nil, m.Ack != nil, m.Sync != nil, m.Records != nil)
+}
+
+// EncodeRecord returns the encoded form of r, marked with Version.
+func EncodeRecord(r *Record) ([]byte, error) {
+	marked := *r
+	marked.Version = Version
+	b, err := encMode.Marshal(&marked)
+	if err != nil {
+		return nil, fmt.Errorf("encode record: %w", err)
+	}
+	return b, nil
+}
+
+// DecodeRecord decodes one record of the log. A record of another version, or
+// without exactly one part, is an error.
+func DecodeRecord(b []byte) (*Record, error) {
+	var r Record
+	if err := decMode.Unmarshal(b, &r); err != nil {
+		return nil, fmt.Errorf("decode record: %w", err)
+	}
+	if r.Version != Version {
+		return nil, fmt.Errorf("decode record: %w %d", errVersion, r.Version)
+	}
+	if r.parts() != 1 {
+		return nil, fmt.Errorf("decode record: %w", errOneOf)
+	}
+	return &r, nil
+}
+
+func (r *Record) parts() int {
+	return count(r.Join != nil, r.Evict != nil, r.Leave != nil, r.Settle != nil,
+		r.Claim != nil, r.Revise != nil, r.Snapshot != nil, r.Retire != nil)
+}
+
+func count(set ...bool) int {
+	n := 0
+	for _, s := range set {
+		if s {
+			n++
+		}
+	}
+	return n
+}
