coder: a digest is text, so that it survives the codec

Cause: a draining instance sent its directory, the peer refused the message with 'invalid UTF-8 string' and dropped the link, over and over; the view never settled and the drain never ended. The digest in a directory line was raw bytes in a CBOR text string. Ruled out: a missing settlement (the view was complete), and a lost link (it came up again each time). Change: the digest is written in hexadecimal.

--- a/internal/cli/client/client.go
+++ b/internal/cli/client/client.go
@@ -159,7 +159,7 @@
 	return out, err
 }
 
-// Instances, Workers and Minions list what the instance sees.
+// Instances lists the members that the instance sees.
 func (c *Client) Instances(ctx context.Context) ([]server.InstanceLine, error) {
 	var out server.LinesBody
 	err := c.get(ctx, "/v1/instances", &out)
--- a/internal/cli/commander/commander.go
+++ b/internal/cli/commander/commander.go
@@ -60,7 +60,7 @@
 	Serve     serveCmd     `cmd:"" help:"Run an entry instance. Example: heatherslip serve --settings e0.ini"`
 	Demo      demoCmd      `cmd:"" help:"Show the main job on embedded stand-ins. Example: heatherslip demo"`
 	Form      formCmd      `cmd:"" help:"Print the blank questionnaire. Example: heatherslip form > answers.ini"`
-	Token_    tokenCmd     `cmd:"" name:"token" help:"Make a bearer token and its digest for the questionnaire."`
+	NewToken  tokenCmd     `cmd:"" name:"token" help:"Make a bearer token and its digest for the questionnaire."`
 	Check     checkCmd     `cmd:"" help:"Check a questionnaire's answers. Example: heatherslip check answers.ini"`
 	Generate  generateCmd  `cmd:"" help:"Show the configuration that answers give, each line with its answer."`
 	Diff      diffCmd      `cmd:"" help:"Show how the configuration of two questionnaires differs."`
--- a/internal/core/dispatcher/fence.go
+++ b/internal/core/dispatcher/fence.go
@@ -184,8 +184,8 @@
 // workers have answered, since a member that is gone may hold starts that
 // nobody here knows of.
 func (n *Node) membersGone() {
-	lost, any := n.state.LostUntil(n.self.Domain)
-	bars := any && n.now.Sub(lost) < workerDead
+	lost, happened := n.state.LostUntil(n.self.Domain)
+	bars := happened && n.now.Sub(lost) < workerDead
 	for _, inc := range n.goneHolders() {
 		n.takeOver(inc, bars)
 	}
--- a/internal/core/dispatcher/owner.go
+++ b/internal/core/dispatcher/owner.go
@@ -148,8 +148,8 @@
 	if shown && issued.Sub(n.now) > n.policy.Skew {
 		return coder.CodeExpired, "the key was issued in the future; check the caller's clock"
 	}
-	lost, any := n.state.LostUntil(n.self.Domain)
-	if !any {
+	lost, happened := n.state.LostUntil(n.self.Domain)
+	if !happened {
 		return "", ""
 	}
 	margin := n.policy.Skew + suspectAfter
--- a/internal/edge/runner/runner.go
+++ b/internal/edge/runner/runner.go
@@ -239,7 +239,7 @@
 	}
 }
 
-// LinkUp, LinkDown, Receive and LinkRefused take what happens on links.
+// LinkUp implements linker.Handler.
 func (r *Runner) LinkUp(m coder.Member) { r.push(dispatcher.LinkUp{Member: m}) }
 
 // LinkDown implements linker.Handler.
--- /dev/null
+++ b/internal/wire/coder/codec_test.go
@@ -0,0 +1,127 @@
+package coder
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/heatherslip/heatherslip/internal/wire/namer"
+)
+
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+func drawWork(t *rapid.T) Work {
+	n := rapid.IntRange(1, 5).Draw(t, "tasks")
+	w := Work{
+		Submission: namer.Submission{
+			Team: namer.Team(rapid.String().Draw(t, "team")),
+			Key:  namer.Key(rapid.StringMatching(`[!-~]{1,40}`).Draw(t, "key")),
+		},
+		Kind:     namer.Kind(rapid.String().Draw(t, "kind")),
+		Deadline: time.UnixMilli(rapid.Int64Range(0, 1<<41).Draw(t, "deadline")).UTC(),
+	}
+	for range n {
+		w.Tasks = append(w.Tasks, TaskSpec{
+			Cores:   namer.MilliCores(rapid.IntRange(1, 1<<20).Draw(t, "cores")),
+			Payload: rapid.String().Draw(t, "payload"),
+		})
+	}
+	return w
+}
+
+func TestMessagesSurviveTheCodec(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := drawWork(t)
+		digest, err := w.Digest()
+		must.NoError(t, err)
+		cases := map[string]*Message{
+			"forward": {Forward: &Forward{Call: 7, Op: OpSubmit, Work: w, Wait: true}},
+			"replicate": {Replicate: &Replicate{Seq: 1, View: 2, Updates: []Update{{
+				Work: &w, ID: w.Submission.ID(), Placed: []Placement{{Index: 1, Attempt: 2, Worker: "w", Lease: "l"}},
+			}}}},
+			"sync": {Sync: &Sync{View: 3, Known: []Known{{ID: w.Submission.ID(), Digest: digest, Runner: "a", Backup: "b", Until: w.Deadline}}, Done: true}},
+		}
+		for name, m := range cases {
+			b, err := EncodeMessage(m)
+			must.NoError(t, err, must.Sprint(name))
+			got, err := DecodeMessage(b)
+			must.NoError(t, err, must.Sprint(name))
+			must.Eq(t, m, got, must.Sprint(name))
+		}
+	})
+}
+
+func TestDigestLeavesOutTheDeadline(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := drawWork(t)
+		first, err := w.Digest()
+		must.NoError(t, err)
+		w.Deadline = w.Deadline.Add(time.Second)
+		second, err := w.Digest()
+		must.NoError(t, err)
+		must.Eq(t, first, second)
+		w.Tasks[0].Payload += "x"
+		third, err := w.Digest()
+		must.NoError(t, err)
+		must.NotEq(t, first, third)
+	})
+}
+
+func TestDecodeRefuses(t *testing.T) {
+	cases := map[string]*Message{
+		"no part":   {},
+		"two parts": {Beat: &Beat{}, Ack: &Ack{}},
+	}
+	for name, m := range cases {
+		t.Run(name, func(t *testing.T) {
+			b, err := EncodeMessage(m)
+			must.NoError(t, err)
+			_, err = DecodeMessage(b)
+			must.ErrorIs(t, err, errOneOf)
+		})
+	}
+}
+
+func TestDecodeRecordRefusesOtherVersions(t *testing.T) {
+	b, err := encMode.Marshal(&Record{Version: Version + 1, Leave: &Leave{Incarnation: "a"}})
+	must.NoError(t, err)
+	_, err = DecodeRecord(b)
+	must.ErrorIs(t, err, errVersion)
+}
+
+func FuzzDecodeMessage(f *testing.F) {
+	b, err := EncodeMessage(&Message{Ack: &Ack{Seq: 1, OK: true}})
+	must.NoError(f, err)
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := DecodeMessage(b)
+		if err != nil {
+			return
+		}
+		again, err := EncodeMessage(m)
+		must.NoError(t, err)
+		_, err = DecodeMessage(again)
+		must.NoError(t, err)
+	})
+}
+
+func FuzzDecodeRecord(f *testing.F) {
+	b, err := EncodeRecord(&Record{Leave: &Leave{Incarnation: "a"}})
+	must.NoError(f, err)
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r, err := DecodeRecord(b)
+		if err != nil {
+			return
+		}
+		_, err = EncodeRecord(r)
+		must.NoError(t, err)
+	})
+}
--- a/internal/wire/coder/work.go
+++ b/internal/wire/coder/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"time"
 
@@ -51,7 +52,7 @@
 		return "", fmt.Errorf("digest work: %w", err)
 	}
 	sum := sha256.Sum256(b)
-	return string(sum[:16]), nil
+	return hex.EncodeToString(sum[:16]), nil
 }
 
 // Status is the state of a submission as a caller sees it.
