--- a/internal/core/dispatcher/entry.go
+++ b/internal/core/dispatcher/entry.go
@@ -16,6 +16,13 @@
 // maxHops is how often a call is sent on before it is given up.
 const maxHops = 20
 
+// askAgain is how long an answer is waited for before the same instance is
+// asked once more; it doubles up to maxAskAgain.
+const (
+	askAgain    = 2 * time.Second
+	maxAskAgain = 16 * time.Second
+)
+
 // parkLimit is how long an ask waits for this instance to know whether it
 // owns the submission.
 const parkLimit = 5 * time.Second
@@ -42,6 +49,10 @@
 	told   namer.Incarnation
 	hops   int
 	notYet time.Time
+	// askedAt is when the target was asked, and again how long to wait until
+	// it is asked once more.
+	askedAt time.Time
+	again   time.Duration
 }
 
 func newEntry() entry {
@@ -90,7 +101,7 @@
 func (n *Node) asked(e Asked) {
 	if !n.state.Ready() {
 		n.do(Reply{Call: e.Call, Answer: coder.Answer{
-			Status: coder.Refused, Code: coder.CodeNotReady, Ran: coder.RanNo,
+			Status: coder.Unknown, Code: coder.CodeNotReady, Ran: coder.RanUnknown,
 			Detail: "no configuration is in force yet", RetryMillis: soonMillis,
 		}})
 		return
@@ -141,16 +152,39 @@
 	}
 	if to != "" && n.linked(to) {
 		c.hop(n.now, to)
-		n.send(to, &coder.Message{Forward: &coder.Forward{Call: c.id, Op: c.op, Work: c.work, Wait: c.wait}})
+		n.forward(c)
 		return
 	}
 	n.maybeGiveUp(c, to)
 }
 
+func (n *Node) forward(c *call) {
+	n.send(c.target, &coder.Message{Forward: &coder.Forward{Call: c.id, Op: c.op, Work: c.work, Wait: c.wait}})
+}
+
+// scanCalls asks again where an answer is late: it may have been lost on a
+// link that broke one way only. Asking twice does no harm.
+func (n *Node) scanCalls() {
+	var late []*call
+	for _, c := range n.entry.calls {
+		if c.target != "" && c.target != n.self.Incarnation && n.now.Sub(c.askedAt) >= c.again {
+			late = append(late, c)
+		}
+	}
+	sort.Slice(late, func(i, j int) bool { return late[i].id < late[j].id })
+	for _, c := range late {
+		c.askedAt = n.now
+		c.again = min(2*c.again, maxAskAgain)
+		n.forward(c)
+	}
+}
+
 func (c *call) hop(now time.Time, to namer.Incarnation) {
 	c.target = to
 	c.told = ""
 	c.hops++
+	c.askedAt = now
+	c.again = askAgain
 	c.notYet = now.Add(time.Duration(c.hops-1) * hopPause)
 }
 
--- a/internal/core/dispatcher/node.go
+++ b/internal/core/dispatcher/node.go
@@ -237,6 +237,7 @@
 	}
 	n.lastScan = n.now
 	n.scanDeadlines()
+	n.scanCalls()
 	n.scanLeases()
 	if n.now.Sub(n.lastTidy) >= expireEvery {
 		n.lastTidy = n.now
--- a/internal/core/dispatcher/owner.go
+++ b/internal/core/dispatcher/owner.go
@@ -95,7 +95,7 @@
 	case r.Settled():
 		n.answer(a.waiter, *r.Final)
 	case a.wait:
-		r.Waiters = append(r.Waiters, a.waiter)
+		r.AddWaiter(a.waiter)
 	default:
 		n.answer(a.waiter, coder.Answer{Status: coder.Running, Ran: r.Ran()})
 	}
@@ -231,7 +231,7 @@
 
 func (n *Node) keepWaiter(a *ask, r *keeper.Record) {
 	if a.wait {
-		r.Waiters = append(r.Waiters, a.waiter)
+		r.AddWaiter(a.waiter)
 		return
 	}
 	n.answer(a.waiter, coder.Answer{Status: coder.Running, Ran: coder.RanNo})
--- a/internal/core/dispatcher/replica.go
+++ b/internal/core/dispatcher/replica.go
@@ -123,7 +123,7 @@
 		u.Placed = append(u.Placed, coder.Placement{Index: i, Attempt: t.Attempt, Worker: t.Worker, Lease: t.Lease})
 	}
 	p.placed = u.Placed
-	if r.Final != nil && !r.Confirmed {
+	if r.Final != nil && (p.work || !r.Confirmed) {
 		u.Final = r.Final
 		p.final = true
 	}
--- a/internal/core/keeper/table.go
+++ b/internal/core/keeper/table.go
@@ -89,6 +89,16 @@
 	Dirty bool
 }
 
+// AddWaiter notes that a call waits; one that asks again is noted once.
+func (r *Record) AddWaiter(w Waiter) {
+	for _, known := range r.Waiters {
+		if known == w {
+			return
+		}
+	}
+	r.Waiters = append(r.Waiters, w)
+}
+
 // IsRequest reports whether the submission is a request to a service.
 func (r *Record) IsRequest() bool { return r.Work.Service != "" }
 
