dispatcher: two faults that the model found

An owner that was evicted, and had not heard of it, refused a key as 'not run' while its successor had run it. A refusal that says so now needs the heir's word that it knows nothing either, or a read of the log begun after it; it goes with the updates to the heir, so that a flood of refusals costs one message a step. A runner that took over, and was evicted before it could fence its predecessor's lease, left that lease to nobody: the third runner fenced the second alone, and the first one's late start was taken. Each task's own lease is fenced now, whoever held it. TestThirdRunnerFencesTheFirst: red (a task started twice), green now. Ruled out for 2: the member that saw the first eviction fences it; only one that joined later does not. Besides: the daemon kept polling the leases of an incarnation that it had given up, which renewed them; they end with the incarnation.

--- a/internal/core/dispatcher/action.go
+++ b/internal/core/dispatcher/action.go
@@ -25,6 +25,9 @@
 // when the log is read, never by the answer.
 type Append struct{ Record coder.Record }
 
+// ReadLog asks for a read of the log that begins now.
+type ReadLog struct{}
+
 // OpenLease asks a worker for a lease.
 type OpenLease struct{ Worker namer.Worker }
 
@@ -99,6 +102,7 @@
 func (Reply) action()       {}
 func (SendPeer) action()    {}
 func (Append) action()      {}
+func (ReadLog) action()     {}
 func (OpenLease) action()   {}
 func (Start) action()       {}
 func (Fence) action()       {}
--- a/internal/core/dispatcher/circle.go
+++ b/internal/core/dispatcher/circle.go
@@ -311,6 +311,7 @@
 	}
 	n.entry.unlinkAll()
 	n.ledger.claims = nil
+	n.ledger.denials = nil
 	n.do(Rename{Member: n.self})
 }
 
--- a/internal/core/dispatcher/entry.go
+++ b/internal/core/dispatcher/entry.go
@@ -165,8 +165,12 @@
 // scanCalls asks again where an answer is late: it may have been lost on a
 // link that broke one way only. Asking twice does no harm.
 func (n *Node) scanCalls() {
-	var late []*call
+	var late, over []*call
 	for _, c := range n.entry.calls {
+		if n.now.After(c.limit()) {
+			over = append(over, c)
+			continue
+		}
 		if c.target != "" && c.target != n.self.Incarnation && n.now.Sub(c.askedAt) >= c.again {
 			late = append(late, c)
 		}
@@ -177,6 +181,21 @@
 		c.again = min(2*c.again, maxAskAgain)
 		n.forward(c)
 	}
+	sort.Slice(over, func(i, j int) bool { return over[i].id < over[j].id })
+	for _, c := range over {
+		n.giveUp(c, c.target)
+	}
+}
+
+// limit is when a caller hears that the outcome is unknown, whatever the
+// owner does: soon after the deadline, at which the owner should have
+// answered, or after a while for a question that was asked later.
+func (c *call) limit() time.Time {
+	limit := c.work.Deadline.Add(2 * resendAfter)
+	if patience := c.since.Add(parkLimit + time.Second); patience.After(limit) {
+		return patience
+	}
+	return limit
 }
 
 func (c *call) hop(now time.Time, to namer.Incarnation) {
--- a/internal/core/dispatcher/fence.go
+++ b/internal/core/dispatcher/fence.go
@@ -216,7 +216,7 @@
 // and this one backed up.
 func (n *Node) takeOver(gone namer.Incarnation, bars bool) {
 	n.circle.fenced[gone] = true
-	doubtful := make(map[namer.Worker][]namer.Task)
+	doubtful := make(map[grant][]namer.Task)
 	var mine []*keeper.Record
 	n.table.Each(func(r *keeper.Record) {
 		if r.Runner == gone && r.Backup == n.self.Incarnation {
@@ -228,14 +228,35 @@
 		n.inherit(r, doubtful)
 	}
 	for _, w := range n.placer.All() {
-		n.fences.add(&fence{worker: w.Name, holder: gone, tasks: doubtful[w.Name], bars: bars, since: n.now})
-		delete(doubtful, w.Name)
+		n.fences.add(&fence{worker: w.Name, holder: gone, bars: bars, since: n.now})
 	}
-	for _, worker := range sortedWorkers(doubtful) {
-		n.fences.add(&fence{worker: worker, holder: gone, tasks: doubtful[worker], since: n.now})
+	for _, g := range sortedGrants(doubtful) {
+		n.fences.add(&fence{worker: g.worker, holder: gone, lease: g.lease, tasks: doubtful[g], since: n.now})
 	}
 }
 
+// grant is a lease on a worker. A task's own lease is fenced whoever holds it:
+// the runner that is gone may have taken the task over itself, and not have
+// fenced the runner before it.
+type grant struct {
+	worker namer.Worker
+	lease  namer.Lease
+}
+
+func sortedGrants(m map[grant][]namer.Task) []grant {
+	out := make([]grant, 0, len(m))
+	for g := range m {
+		out = append(out, g)
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].worker != out[j].worker {
+			return out[i].worker < out[j].worker
+		}
+		return out[i].lease < out[j].lease
+	})
+	return out
+}
+
 func sortedWorkers(m map[namer.Worker][]namer.Task) []namer.Worker {
 	out := make([]namer.Worker, 0, len(m))
 	for w := range m {
@@ -246,7 +267,7 @@
 }
 
 // inherit becomes the runner of a record that this instance backed up.
-func (n *Node) inherit(r *keeper.Record, doubtful map[namer.Worker][]namer.Task) {
+func (n *Node) inherit(r *keeper.Record, doubtful map[grant][]namer.Task) {
 	n.decide(eventer.TakenOver, r.ID, 0, string(r.Runner), "")
 	r.Runner = n.self.Incarnation
 	r.Backup = ""
@@ -262,7 +283,8 @@
 		t := &r.Tasks[i]
 		if t.State == keeper.Starting {
 			t.State = keeper.Doubtful
-			doubtful[t.Worker] = append(doubtful[t.Worker], namer.Task{ID: r.ID, Index: i})
+			g := grant{t.Worker, t.Lease}
+			doubtful[g] = append(doubtful[g], namer.Task{ID: r.ID, Index: i})
 		}
 	}
 	n.enqueue(r)
--- a/internal/core/dispatcher/ledger.go
+++ b/internal/core/dispatcher/ledger.go
@@ -23,6 +23,10 @@
 	claims []namer.Submission
 	// claimSent is when the last claim was appended that is not yet read back.
 	claimSent time.Time
+	// denials wait for a read of the log that is begun after them.
+	denials []*denial
+	// reading is set while a read for denials is on its way.
+	reading   bool
 	snapshot  namer.Offset
 	snapAsked namer.Offset
 }
@@ -33,6 +37,7 @@
 }
 
 func (n *Node) logFailed() {
+	n.ledger.reading = false
 	if !n.ledger.down {
 		n.decide(eventer.LogDown, "", 0, "", "")
 	}
@@ -44,11 +49,13 @@
 		n.decide(eventer.LogUp, "", 0, "", "")
 	}
 	n.ledger.down = false
+	n.ledger.reading = false
 	n.ledger.read = n.now
 	n.learnRecords(e.Entries)
 	if n.circle.stale && !e.Asked.Before(n.circle.staleSince) {
 		n.circle.stale = false
 	}
+	n.readDenials(e.Asked)
 	n.maybeSnapshot()
 }
 
--- a/internal/core/dispatcher/life_test.go
+++ b/internal/core/dispatcher/life_test.go
@@ -4,11 +4,77 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/shoenig/test/must"
 
 	"github.com/heatherslip/heatherslip/internal/wire/coder"
+	"github.com/heatherslip/heatherslip/internal/wire/namer"
 )
 
+// keyAt makes a key that shows that it was issued at a time.
+func keyAt(t *testing.T, at time.Time) namer.Key {
+	t.Helper()
+	id, err := uuid.NewV7()
+	must.NoError(t, err)
+	ms := at.UnixMilli()
+	for i := range 6 {
+		id[i] = byte(ms >> (8 * (5 - i)))
+	}
+	return namer.Key(id.String())
+}
+
+// An owner that was evicted, and has not heard of it, must not deny what its
+// successor has run. Found by the model.
+func TestEvictedOwnerDoesNotDeny(t *testing.T) {
+	s := newSim(t, 2, 1, ModeHeir)
+	w := s.work(keyAt(t, s.now), 3, false)
+	owner, heir := s.ownerOf(w.Submission)
+	s.nodes[owner].noLog = true
+	s.cut[[2]int{owner, heir}] = true
+	s.run(4 * time.Second)
+	must.False(t, s.nodes[heir].node.linkedMember(s.nodes[owner].inc), must.Sprint("the owner is evicted"))
+	ran := s.ask(heir, coder.OpSubmit, w)
+	s.run(time.Second)
+	must.Eq(t, coder.Done, ran.answers[0].Status)
+	w.Tasks = nil
+	late := s.ask(owner, coder.OpFetch, w)
+	s.run(10 * time.Second)
+	must.Eq(t, coder.RanUnknown, late.answers[0].Ran, must.Sprintf("%+v", late.answers[0]))
+}
+
+// A start that the first runner sent is fenced by its own lease, also where
+// the runner that took over died before it could, and the third joined later.
+// Found by the model.
+func TestThirdRunnerFencesTheFirst(t *testing.T) {
+	s := newSim(t, 2, 1, ModeHeir)
+	w := s.work("a job", 3, false)
+	first, second := s.ownerOf(w.Submission)
+	s.noFence = second + 1
+	s.nodes[first].noLog = true
+	s.delayStart = 6 * time.Second
+	s.ask(first, coder.OpSubmit, w)
+	s.run(20 * time.Millisecond)
+	s.cut[[2]int{first, second}] = true
+	s.cut[[2]int{second, first}] = true
+	s.run(2 * time.Second)
+	must.False(t, s.nodes[second].node.linkedMember(s.nodes[first].inc), must.Sprint("the first is evicted"))
+	third := s.addNode().index
+	s.cut[[2]int{first, third}] = true
+	s.cut[[2]int{third, first}] = true
+	s.run(200 * time.Millisecond)
+	s.delayStart = 0
+	s.kill(second)
+	again := s.ask(third, coder.OpSubmit, w)
+	s.run(20 * time.Second)
+	s.check()
+	must.Eq(t, coder.Done, again.answers[0].Status)
+}
+
+func (n *Node) linkedMember(inc namer.Incarnation) bool {
+	_, present := n.state.Member(inc)
+	return present
+}
+
 func TestJobRunsOnceAndWhole(t *testing.T) {
 	for name, mode := range map[string]Mode{"heir": ModeHeir, "log": ModeLog} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/core/dispatcher/matrix_test.go
+++ b/internal/core/dispatcher/matrix_test.go
@@ -36,20 +36,20 @@
 		s.after(10*time.Second, off)
 	}
 	return map[string]fault{
-		"nothing":      {func(*sim, cast) {}, true},
-		"entry dies":   {func(s *sim, c cast) { s.kill(c.entry) }, true},
-		"owner dies":   {func(s *sim, c cast) { s.kill(c.owner) }, false},
-		"heir dies":    {func(s *sim, c cast) { s.kill(c.heir) }, true},
+		"nothing":    {func(*sim, cast) {}, true},
+		"entry dies": {func(s *sim, c cast) { s.kill(c.entry) }, true},
+		"owner dies": {func(s *sim, c cast) { s.kill(c.owner) }, false},
+		"heir dies":  {func(s *sim, c cast) { s.kill(c.heir) }, true},
 		"owner and heir die": {func(s *sim, c cast) {
 			s.kill(c.owner)
 			s.kill(c.heir)
 		}, false},
-		"owner restarts":        {func(s *sim, c cast) { s.restart(c.owner) }, false},
-		"heir restarts":         {func(s *sim, c cast) { s.restart(c.heir) }, true},
-		"owner pauses briefly":  {func(s *sim, c cast) { s.freeze(c.owner, 1200*time.Millisecond) }, true},
-		"owner pauses":          {func(s *sim, c cast) { s.freeze(c.owner, 5*time.Second) }, false},
-		"heir pauses":           {func(s *sim, c cast) { s.freeze(c.heir, 5*time.Second) }, true},
-		"entry pauses":          {func(s *sim, c cast) { s.freeze(c.entry, 5*time.Second) }, true},
+		"owner restarts":       {func(s *sim, c cast) { s.restart(c.owner) }, false},
+		"heir restarts":        {func(s *sim, c cast) { s.restart(c.heir) }, true},
+		"owner pauses briefly": {func(s *sim, c cast) { s.freeze(c.owner, 1200*time.Millisecond) }, true},
+		"owner pauses":         {func(s *sim, c cast) { s.freeze(c.owner, 5*time.Second) }, false},
+		"heir pauses":          {func(s *sim, c cast) { s.freeze(c.heir, 5*time.Second) }, true},
+		"entry pauses":         {func(s *sim, c cast) { s.freeze(c.entry, 5*time.Second) }, true},
 		"owner and heir pause": {func(s *sim, c cast) {
 			s.freeze(c.owner, 5*time.Second)
 			s.freeze(c.heir, 5*time.Second)
--- a/internal/core/dispatcher/node.go
+++ b/internal/core/dispatcher/node.go
@@ -151,6 +151,7 @@
 	n.runTasks()
 	n.runDesk()
 	n.runClaims()
+	n.runDenials()
 	n.runReplica()
 	n.runStarts()
 	out := n.out
--- a/internal/core/dispatcher/owner.go
+++ b/internal/core/dispatcher/owner.go
@@ -129,11 +129,11 @@
 		return
 	}
 	if a.op != coder.OpSubmit {
-		n.refuse(a, coder.CodeNotFound, n.neverSeen(a.work), "no such submission is known")
+		n.notFound(a)
 		return
 	}
 	if refusal := n.admit(a.work); refusal != nil {
-		n.refuseWith(a, *refusal)
+		n.deny(a, *refusal)
 		return
 	}
 	n.propose(a, heir)
@@ -162,13 +162,18 @@
 	return coder.CodeLost, "instances were lost together and may have run it; use a new key that shows its age"
 }
 
-// neverSeen says whether a submission that is not known has run: a key whose
-// age shows that it cannot have been forgotten has not.
-func (n *Node) neverSeen(w *coder.Work) coder.Ran {
-	if _, shown := w.Submission.Key.Issued(); shown {
-		return coder.RanNo
+// notFound answers a question about a submission that is not known. It has
+// not run if its key shows an age at which it cannot have been forgotten.
+func (n *Node) notFound(a *ask) {
+	answer := coder.Answer{
+		Status: coder.Unknown, Code: coder.CodeNotFound, Ran: coder.RanUnknown, Detail: "no such submission is known",
 	}
-	return coder.RanUnknown
+	if _, shown := a.work.Submission.Key.Issued(); !shown {
+		n.refuseWith(a, answer)
+		return
+	}
+	answer.Status, answer.Ran = coder.Refused, coder.RanNo
+	n.deny(a, answer)
 }
 
 func (n *Node) refuse(a *ask, code coder.Code, ran coder.Ran, detail string) {
@@ -212,7 +217,7 @@
 	}
 	mayHeir := heir != "" && !n.silent(heir)
 	if !mayHeir && !n.logUp() {
-		n.refuse(a, coder.CodeNoHeir, coder.RanNo, "neither the heir nor the log can confirm the submission")
+		n.refuse(a, coder.CodeNoHeir, coder.RanUnknown, "neither the heir nor the log can confirm the submission")
 		return
 	}
 	r := n.newRecord(a.work, n.self.Incarnation, heir)
--- a/internal/core/dispatcher/replica.go
+++ b/internal/core/dispatcher/replica.go
@@ -18,6 +18,8 @@
 type replica struct {
 	seq   uint64
 	dirty []namer.ID
+	// denials wait to be sent to their heirs.
+	denials []*denial
 	// flights are the messages that no acknowledgement has come for.
 	flights map[uint64]*flight
 	// unprotected holds the submissions that were without a backup when the
@@ -38,6 +40,8 @@
 	work   bool
 	final  bool
 	placed []coder.Placement
+	// deny is set alone.
+	deny *denial
 }
 
 func newReplica() replica {
@@ -60,13 +64,12 @@
 // few messages as possible.
 func (n *Node) runReplica() {
 	n.replica.expire(n)
-	if len(n.replica.dirty) == 0 {
+	if len(n.replica.dirty)+len(n.replica.denials) == 0 {
 		return
 	}
 	dirty := n.replica.dirty
 	n.replica.dirty = nil
-	batches := make(map[namer.Incarnation]*batch)
-	var order []namer.Incarnation
+	b := &batches{byPeer: make(map[namer.Incarnation]*batch)}
 	for _, id := range dirty {
 		r := n.table.Get(id)
 		if r == nil {
@@ -80,28 +83,40 @@
 			n.confirmAlone(r)
 			continue
 		}
-		b, found := batches[r.Backup]
-		if !found {
-			b = &batch{}
-			batches[r.Backup] = b
-			order = append(order, r.Backup)
-		}
-		n.addUpdate(b, r)
-		if len(b.updates) >= maxUpdates {
-			n.fly(r.Backup, b)
-			batches[r.Backup] = &batch{}
-		}
+		n.addUpdate(b.to(r.Backup), r)
 	}
-	for _, to := range order {
-		n.fly(to, batches[to])
+	n.addDenials(b)
+	for _, to := range b.order {
+		n.fly(to, b.byPeer[to])
 	}
 }
 
+// batches are the updates of one step by their backups.
+type batches struct {
+	byPeer map[namer.Incarnation]*batch
+	order  []namer.Incarnation
+}
+
+func (b *batches) to(inc namer.Incarnation) *batch {
+	found, ok := b.byPeer[inc]
+	if !ok {
+		found = &batch{}
+		b.byPeer[inc] = found
+		b.order = append(b.order, inc)
+	}
+	return found
+}
+
 type batch struct {
 	updates []coder.Update
 	parts   []part
 }
 
+func (b *batch) add(u coder.Update, p part) {
+	b.updates = append(b.updates, u)
+	b.parts = append(b.parts, p)
+}
+
 // addUpdate collects what the backup does not know, and is not being told, of
 // a record.
 func (n *Node) addUpdate(b *batch, r *keeper.Record) {
@@ -131,19 +146,20 @@
 		return
 	}
 	r.Offered = true
-	b.updates = append(b.updates, u)
-	b.parts = append(b.parts, p)
+	b.add(u, p)
 }
 
+// fly sends a batch, in messages of at most maxUpdates.
 func (n *Node) fly(to namer.Incarnation, b *batch) {
-	if len(b.updates) == 0 {
-		return
+	for len(b.updates) > 0 {
+		size := min(maxUpdates, len(b.updates))
+		n.replica.seq++
+		n.replica.flights[n.replica.seq] = &flight{to: to, sentAt: n.now, parts: b.parts[:size]}
+		n.send(to, &coder.Message{Replicate: &coder.Replicate{
+			Seq: n.replica.seq, View: n.circle.view, Updates: b.updates[:size],
+		}})
+		b.updates, b.parts = b.updates[size:], b.parts[size:]
 	}
-	n.replica.seq++
-	n.replica.flights[n.replica.seq] = &flight{to: to, sentAt: n.now, parts: b.parts}
-	n.send(to, &coder.Message{Replicate: &coder.Replicate{
-		Seq: n.replica.seq, View: n.circle.view, Updates: b.updates,
-	}})
 }
 
 // confirmAlone acts for a runner that is its domain's only member: nobody
@@ -184,6 +200,9 @@
 // holds.
 func (n *Node) acceptable(from namer.Incarnation, u *coder.Update) bool {
 	r := n.table.Get(u.ID)
+	if u.Deny {
+		return r == nil
+	}
 	if r == nil {
 		return u.Work != nil && u.Work.Submission.ID() == u.ID
 	}
@@ -191,6 +210,9 @@
 }
 
 func (n *Node) takeUpdate(from namer.Incarnation, u *coder.Update) {
+	if u.Deny {
+		return
+	}
 	r := n.table.Get(u.ID)
 	if r == nil {
 		r = n.newRecord(u.Work, from, n.self.Incarnation)
@@ -238,6 +260,10 @@
 }
 
 func (n *Node) partAcked(from namer.Incarnation, p *part) {
+	if p.deny != nil {
+		n.denied(p.deny)
+		return
+	}
 	r := n.table.Get(p.id)
 	if r == nil || r.Runner != n.self.Incarnation || r.Backup != from {
 		return
@@ -297,6 +323,10 @@
 func (c *replica) requeue(n *Node, seq uint64, f *flight) {
 	delete(c.flights, seq)
 	for _, p := range f.parts {
+		if p.deny != nil {
+			n.reconsider(p.deny)
+			continue
+		}
 		r := n.table.Get(p.id)
 		if r == nil {
 			continue
--- a/internal/core/dispatcher/sim_test.go
+++ b/internal/core/dispatcher/sim_test.go
@@ -59,6 +59,8 @@
 	deadMinions          bool
 	// loseAppends drops appends, and loseStart the answers of starts.
 	loseAppends, loseStart bool
+	// noFence is the node whose fences do not reach the workers, plus one.
+	noFence int
 	// delayStart holds starts back on their way.
 	delayStart time.Duration
 
@@ -372,6 +374,10 @@
 				s.append(rec)
 			}
 		})
+	case ReadLog:
+		if !s.log.Faults.Down && !n.noLog {
+			s.readNow(n, core)
+		}
 	case OpenLease:
 		s.after(2*simHop, func() { s.openLease(n, core, a) })
 	case Start:
@@ -502,9 +508,10 @@
 
 // poll follows the ends of a lease's tasks, as the daemon does.
 func (s *sim) poll(n *simNode, core *Node, w *emulator.Worker, lease string, after int, renewed time.Time) {
+	holder := core.self.Incarnation
 	s.after(simPoll, func() {
 		switch {
-		case n.dead || n.node != core:
+		case n.dead || n.node != core || holder != core.self.Incarnation:
 			return
 		case n.frozen:
 			s.poll(n, core, w, lease, after, renewed)
@@ -593,7 +600,7 @@
 
 func (s *sim) fence(n *simNode, core *Node, a Fence) {
 	w := s.worker(a.Worker)
-	if w.Faults.Dead {
+	if w.Faults.Dead || s.noFence == n.index+1 {
 		s.after(100*simHop, func() { s.deliverTo(n, core, FenceFailed{Fence: a.Fence}) })
 		return
 	}
--- a/internal/edge/caller/caller.go
+++ b/internal/edge/caller/caller.go
@@ -17,8 +17,8 @@
 
 const (
 	callTimeout = 2 * time.Second
-	// pollWait is how long a poll may stay open with nothing to tell.
-	pollWait = time.Second
+	// PollWait is how long a poll may stay open with nothing to tell.
+	PollWait = time.Second
 	// connsPerHost bounds the connections to one worker or minion; a minion
 	// takes 64 from all instances together.
 	connsPerHost = 8
@@ -87,12 +87,13 @@
 	Wait int    `url:"wait"`
 }
 
-// Read returns the records from an offset on; it waits a while for the first.
-func (c *Caller) Read(ctx context.Context, from uint64) ([]emulator.LogEntry, error) {
+// Read returns the records from an offset on, and waits up to wait for the
+// first.
+func (c *Caller) Read(ctx context.Context, from uint64, wait time.Duration) ([]emulator.LogEntry, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var out emulator.ReadBody
-	s := sling.New().Base(c.platform).Get("/v1/log").QueryStruct(readQuery{From: from, Wait: int(pollWait / time.Millisecond)})
+	s := sling.New().Base(c.platform).Get("/v1/log").QueryStruct(readQuery{From: from, Wait: int(wait / time.Millisecond)})
 	if _, err := c.call(ctx, s, &out); err != nil {
 		return nil, err
 	}
@@ -131,7 +132,7 @@
 // Ends polls for the ends of a lease's tasks, and so renews the lease.
 func (c *Caller) Ends(ctx context.Context, addr, lease string, after int) (*emulator.EndsAnswer, error) {
 	var out emulator.EndsAnswer
-	body := emulator.EndsBody{Lease: lease, After: after, WaitMillis: int(pollWait / time.Millisecond)}
+	body := emulator.EndsBody{Lease: lease, After: after, WaitMillis: int(PollWait / time.Millisecond)}
 	if err := c.post(ctx, addr, "/v1/ends", body, &out); err != nil {
 		return nil, err
 	}
--- a/internal/edge/runner/perform.go
+++ b/internal/edge/runner/perform.go
@@ -21,6 +21,8 @@
 		r.linker.Send(a.To, a.Msg)
 	case dispatcher.Append:
 		r.Append(a.Record)
+	case dispatcher.ReadLog:
+		r.start(r.readOnce)
 	case dispatcher.OpenLease:
 		r.start(func() { r.lease(a.Worker) })
 	case dispatcher.Start:
@@ -58,14 +60,17 @@
 func (r *Runner) renamed(self coder.Member) {
 	r.mu.Lock()
 	r.self = self
+	r.endLife()
+	r.life, r.endLife = context.WithCancel(r.ctx)
 	r.mu.Unlock()
 	r.linker.Rename(self)
 }
 
-func (r *Runner) holder() string {
+// holder returns the present incarnation and the context that ends with it.
+func (r *Runner) holder() (context.Context, string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return string(r.self.Incarnation)
+	return r.life, string(r.self.Incarnation)
 }
 
 func (r *Runner) workerAddr(w namer.Worker) string {
@@ -84,7 +89,8 @@
 // over.
 func (r *Runner) lease(w namer.Worker) {
 	addr := r.workerAddr(w)
-	granted, err := r.caller.Lease(r.ctx, addr, r.holder())
+	life, holder := r.holder()
+	granted, err := r.caller.Lease(life, addr, holder)
 	if err != nil {
 		r.sleep(logRetry)
 		r.push(dispatcher.LeaseOpened{Worker: w})
@@ -92,14 +98,14 @@
 	}
 	lease := namer.Lease(granted.Lease)
 	r.push(dispatcher.LeaseOpened{Worker: w, Lease: lease, Free: sizeOf(granted.Free)})
-	r.follow(w, addr, lease, time.Duration(granted.TTLMillis)*time.Millisecond)
+	r.follow(life, w, addr, lease, time.Duration(granted.TTLMillis)*time.Millisecond)
 }
 
-func (r *Runner) follow(w namer.Worker, addr string, lease namer.Lease, ttl time.Duration) {
+func (r *Runner) follow(life context.Context, w namer.Worker, addr string, lease namer.Lease, ttl time.Duration) {
 	after := 0
 	renewed := time.Now()
-	for r.ctx.Err() == nil {
-		answer, err := r.caller.Ends(r.ctx, addr, string(lease), after)
+	for life.Err() == nil {
+		answer, err := r.caller.Ends(life, addr, string(lease), after)
 		switch {
 		case err == nil && answer.Over, err != nil && time.Since(renewed) > ttl:
 			r.push(dispatcher.LeaseEnded{Worker: w, Lease: lease})
--- a/internal/edge/runner/runner.go
+++ b/internal/edge/runner/runner.go
@@ -69,6 +69,9 @@
 	wg      sync.WaitGroup
 	// policy is the one in force, never nil.
 	policy atomic.Pointer[policer.Policy]
+	// life ends with the present incarnation, and its leases with it.
+	life    context.Context
+	endLife context.CancelFunc
 	// loop is closed once the core has stopped.
 	loop chan struct{}
 
@@ -110,6 +113,7 @@
 		left:    make(chan struct{}),
 	}
 	r.policy.Store(&policer.Policy{})
+	r.life, r.endLife = context.WithCancel(ctx)
 	r.meters = newMeters(r.metrics)
 	r.linker = linker.New(linker.Options{Self: r.self, Key: opts.PeerKey, TLS: opts.TLS, Handler: r})
 	node := dispatcher.New(dispatcher.Settings{
@@ -329,7 +333,7 @@
 		from := uint64(r.offset) + 1
 		r.mu.Unlock()
 		asked := time.Now()
-		entries, err := r.caller.Read(r.ctx, from)
+		entries, err := r.caller.Read(r.ctx, from, caller.PollWait)
 		if err != nil {
 			r.push(dispatcher.LogFailed{})
 			r.sleep(logRetry)
@@ -340,6 +344,20 @@
 	}
 }
 
+// readOnce reads the log at once, beside the reader that waits for records.
+func (r *Runner) readOnce() {
+	r.mu.Lock()
+	from := uint64(r.offset) + 1
+	r.mu.Unlock()
+	asked := time.Now()
+	entries, err := r.caller.Read(r.ctx, from, 0)
+	if err != nil {
+		r.push(dispatcher.LogFailed{})
+		return
+	}
+	r.push(dispatcher.LogRead{Asked: asked, Entries: r.decode(entries)})
+}
+
 // awaitOffset waits until the core has taken what was read, so that the next
 // read begins after it.
 func (r *Runner) awaitOffset(entries []emulator.LogEntry) {
--- a/internal/wire/coder/message.go
+++ b/internal/wire/coder/message.go
@@ -88,6 +88,9 @@
 	// the runner has proved unused.
 	Placed []Placement `cbor:"3,keyasint,omitempty"`
 	Final  *Answer     `cbor:"4,keyasint,omitempty"`
+	// Deny is set alone, and asks whether the backup too knows nothing of the
+	// submission, so that its caller may be told that it has not run.
+	Deny bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Replicate carries updates; View is the view of the domain under which the
