--- a/internal/bench/assembler/fleet.go
+++ b/internal/bench/assembler/fleet.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -31,14 +32,16 @@
 	Log  zerolog.Logger
 }
 
-// Fleet is a running fleet.
+// Fleet is a running fleet. Instances may be killed while others are called.
 type Fleet struct {
 	opts     Options
 	Platform *emulator.Platform
-	// Daemons are nil where an instance was killed.
-	Daemons []*server.Daemon
-	Clients []*client.Client
-	next    int
+	Clients  []*client.Client
+	next     int
+
+	mu sync.Mutex
+	// daemons are nil where an instance was killed.
+	daemons []*server.Daemon
 }
 
 var errNotReady = errors.New("the fleet was not ready in time")
@@ -78,23 +81,48 @@
 		return err
 	}
 	f.Platform.Register(emulator.ListInstance{Name: name, Peer: d.Peer})
-	f.Daemons = append(f.Daemons, d)
+	f.daemons = append(f.daemons, d)
 	f.Clients = append(f.Clients, client.New(d.API, f.opts.Token, f.opts.Team))
 	return nil
 }
 
 // Kill stops an instance as a crash would.
 func (f *Fleet) Kill(i int) {
-	f.Daemons[i].Kill()
-	f.Daemons[i] = nil
+	f.mu.Lock()
+	d := f.daemons[i]
+	f.daemons[i] = nil
+	f.mu.Unlock()
+	if d != nil {
+		d.Kill()
+	}
+}
+
+// Daemon returns an instance, or nil where it was killed.
+func (f *Fleet) Daemon(i int) *server.Daemon {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.daemons[i]
+}
+
+// Living reports whether an instance was not killed.
+func (f *Fleet) Living(i int) bool { return f.Daemon(i) != nil }
+
+// PeerMessages counts the messages that the living instances have sent to one
+// another.
+func (f *Fleet) PeerMessages() int {
+	total := 0
+	for i := range f.Clients {
+		if d := f.Daemon(i); d != nil {
+			total += d.PeerMessages()
+		}
+	}
+	return total
 }
 
 // Close stops everything and waits for it.
 func (f *Fleet) Close() {
-	for i, d := range f.Daemons {
-		if d != nil {
-			f.Kill(i)
-		}
+	for i := range f.Clients {
+		f.Kill(i)
 	}
 	for _, c := range f.Clients {
 		c.Close()
@@ -134,7 +162,7 @@
 
 func (f *Fleet) settled(ctx context.Context, n int) bool {
 	for i, c := range f.Clients {
-		if f.Daemons[i] == nil {
+		if !f.Living(i) {
 			continue
 		}
 		lines, err := c.Instances(ctx)
--- a/internal/bench/demonstrator/demo.go
+++ b/internal/bench/demonstrator/demo.go
@@ -370,7 +370,7 @@
 	for began := time.Now(); time.Since(began) < inForceTime; {
 		all := true
 		for i, c := range s.fleet.Clients {
-			if s.fleet.Daemons[i] == nil {
+			if !s.fleet.Living(i) {
 				continue
 			}
 			now, err := c.Config(s.ctx)
@@ -402,7 +402,7 @@
 		answer <- a
 	}()
 	time.Sleep(time.Duration(millis/4) * time.Millisecond)
-	if err := s.fleet.Daemons[1].Drain(s.ctx); err != nil {
+	if err := s.fleet.Daemon(1).Drain(s.ctx); err != nil {
 		return err
 	}
 	var got coder.Answer
--- a/internal/cli/commander/commander.go
+++ b/internal/cli/commander/commander.go
@@ -59,6 +59,7 @@
 
 	Serve     serveCmd     `cmd:"" help:"Run an entry instance. Example: heatherslip serve --settings e0.ini"`
 	Demo      demoCmd      `cmd:"" help:"Show the main job on embedded stand-ins. Example: heatherslip demo"`
+	Load      loadCmd      `cmd:"" help:"Drive embedded instances with a load scenario. Example: heatherslip load steady-akademia"`
 	Form      formCmd      `cmd:"" help:"Print the blank questionnaire. Example: heatherslip form > answers.ini"`
 	NewToken  tokenCmd     `cmd:"" name:"token" help:"Make a bearer token and its digest for the questionnaire."`
 	Check     checkCmd     `cmd:"" help:"Check a questionnaire's answers. Example: heatherslip check answers.ini"`
--- a/internal/core/dispatcher/replica.go
+++ b/internal/core/dispatcher/replica.go
@@ -201,7 +201,7 @@
 func (n *Node) acceptable(from namer.Incarnation, u *coder.Update) bool {
 	r := n.table.Get(u.ID)
 	if u.Deny {
-		return r == nil
+		return !n.knows(u.ID)
 	}
 	if r == nil {
 		return u.Work != nil && u.Work.Submission.ID() == u.ID
--- a/internal/edge/runner/report.go
+++ b/internal/edge/runner/report.go
@@ -60,6 +60,9 @@
 	}
 }
 
+// PeerMessages counts the messages that were sent to peers.
+func (r *Runner) PeerMessages() int { return int(r.meters.peerOut.Count()) }
+
 func (r *Runner) event(level zerolog.Level, e eventer.Event) *zerolog.Event {
 	return r.opts.Log.WithLevel(level).Int("event", int(e)).Str("instance", r.opts.Name)
 }
--- a/internal/edge/server/daemon.go
+++ b/internal/edge/server/daemon.go
@@ -97,6 +97,9 @@
 	return d.runner.Drain(ctx)
 }
 
+// PeerMessages counts the messages that the instance has sent to peers.
+func (d *Daemon) PeerMessages() int { return d.runner.PeerMessages() }
+
 // shutdownTime bounds how long answers that are being written are waited for.
 const shutdownTime = 5 * time.Second
 
--- a/internal/standin/emulator/platform.go
+++ b/internal/standin/emulator/platform.go
@@ -366,6 +366,24 @@
 	return false
 }
 
+// WorkerNames lists the workers.
+func (p *Platform) WorkerNames() []string {
+	names := make([]string, len(p.workers))
+	for i, h := range p.workers {
+		names[i] = h.worker.Name
+	}
+	return names
+}
+
+// MinionSlots lists the slots of the minions.
+func (p *Platform) MinionSlots() []int {
+	slots := make([]int, len(p.minions))
+	for i, h := range p.minions {
+		slots[i] = h.minion.Slots
+	}
+	return slots
+}
+
 // Stats sums up what has happened on a platform.
 type Stats struct {
 	Appends int `json:"appends"`
--- a/model/ownership.pml
+++ b/model/ownership.pml
@@ -171,6 +171,8 @@
 			:: else -> skip
 			fi
 		:: kind[pos] == EVICT && who[pos] == me && in && with ->
+			lost = lost || (!settled[other] && after_ask[pos]);
+			claimed = claimed || mine;
 			new_view();
 			in = false; rec = NONE; sent = false; doubt = false; placed = NOWHERE;
 			final = false; elsewhere = false; mine = false; complete = false
@@ -204,7 +206,7 @@
 	:: atomic { in && with && !asked && count < LOGMAX - 1 -> append(EVICT, other) }
 	:: atomic { !in && !asked && pos == count && count < LOGMAX -> append(JOIN, me) }
 	:: atomic { in && with && complete && !settled[me] && !asked && (rec == NONE || rec == BACKUP || acked) && count < LOGMAX -> append(SETTLE, me) }
-	:: atomic { in && with && view > 0 && empty(link[other]) -> post(other, SYNC, view, false, (rec != NONE -> 1 : 0)) }
+	:: atomic { in && with && view > 0 && empty(link[other]) -> post(other, SYNC, view, false, (rec != NONE || elsewhere -> 1 : 0)) }
 
 	/* A client asks here. */
 	:: atomic { asks < ASKS && in ->
@@ -238,7 +240,7 @@
 			acked = acked || (k != NOWHERE && k == placed);
 			shown = shown || (f && final);
 			rec = HELD
-		:: what == DENY && v == view && complete && in && with && rec == NONE ->
+		:: what == DENY && v == view && complete && in && with && rec == NONE && !elsewhere && !claimed && !lost ->
 			taken_at_denial = taken;
 			post(other, DENIED, v, false, 0)
 		:: what == DENIED && v == view && in && with && rec == NONE && taken == taken_at_denial ->
