placer: full workers are tried again, bad ones told from bad jobs

Cause: a worker that refused a start as full was taken for full until it reported again, and it reports only to instances with tasks there. What a worker says is now taken for true for 100 ms, doubling to 1 s with each refusal, and each poll brings news. Ruled out: refused updates (no event 207) and broken links. TestFullWorkersAreTriedAgain: red, green. Now as many in a row as a worker like the others fails by chance in one of 200 cases, and 5 s doubling to 5 min.

--- a/internal/bench/loader/run.go
+++ b/internal/bench/loader/run.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"github.com/heatherslip/heatherslip/internal/bench/assembler"
 	"github.com/heatherslip/heatherslip/internal/cli/client"
 	"github.com/heatherslip/heatherslip/internal/config/generator"
@@ -86,7 +84,7 @@
 func Run(ctx context.Context, s *Scenario) (*Report, error) {
 	opts := assembler.Options{
 		Site: emulator.AkademiaSite(), Instances: s.Instances, Questionnaire: generator.SampleAkademia,
-		Token: generator.SampleAkademiaToken, Mode: s.Mode, Log: zerolog.Nop(),
+		Token: generator.SampleAkademiaToken, Mode: s.Mode, Log: s.Log,
 	}
 	if s.User == "association" {
 		opts.Site, opts.Questionnaire, opts.Token = emulator.AssociationSite(), generator.SampleAssociation, generator.SampleAssociationToken
--- a/internal/bench/loader/scenario.go
+++ b/internal/bench/loader/scenario.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gopkg.in/ini.v1"
 
 	"github.com/heatherslip/heatherslip/internal/wire/namer"
@@ -30,6 +31,8 @@
 	// Mode is "heir" or "log".
 	Mode  string
 	Loads []Load
+	// Log takes the decisions of all instances.
+	Log zerolog.Logger
 	// Faults strike in order of their times.
 	Faults []Fault
 }
@@ -106,6 +109,7 @@
 		Instances: top.Key("instances").MustInt(6),
 		Length:    top.Key("length").MustDuration(10 * time.Second),
 		Seed:      top.Key("seed").MustUint64(1),
+		Log:       zerolog.Nop(),
 		Mode:      top.Key("mode").MustString("heir"),
 	}
 	if s.User != "akademia" && s.User != "association" {
--- a/internal/cli/commander/load.go
+++ b/internal/cli/commander/load.go
@@ -6,6 +6,8 @@
 	"os"
 	"strings"
 
+	"github.com/rs/zerolog"
+
 	"github.com/heatherslip/heatherslip/internal/bench/loader"
 )
 
@@ -13,6 +15,7 @@
 	Scenario string `arg:"" optional:"" help:"Scenario or INI file; by default the scenarios are listed."`
 	Mode     string `help:"How submissions get their runner: heir or log." enum:"heir,log," default:""`
 	Seed     uint64 `help:"Seed of the arrivals; by default the scenario's."`
+	Log      string `help:"Write the decisions of all instances to this file." type:"path"`
 	CSV      string `help:"Write the lines to this file." type:"path"`
 	Plot     string `help:"Write a plot to this file, .svg or .png." type:"path"`
 }
@@ -39,6 +42,14 @@
 	if c.Seed != 0 {
 		scenario.Seed = c.Seed
 	}
+	if c.Log != "" {
+		f, err := os.Create(c.Log)
+		if err != nil {
+			return fail(ExitUsage, fmt.Errorf("write log: %w", err))
+		}
+		defer f.Close()
+		scenario.Log = zerolog.New(zerolog.SyncWriter(f)).With().Timestamp().Logger()
+	}
 	var out outcome
 	if scenario.HasFlood() {
 		if out.Calm, err = loader.Run(s.ctx, scenario.WithoutFloods()); err != nil {
--- a/internal/core/dispatcher/life_test.go
+++ b/internal/core/dispatcher/life_test.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -93,3 +94,28 @@
 		})
 	}
 }
+
+// Two instances share the workers and do not see each other's tasks. One that
+// found all workers full must find out that they are free again.
+func TestFullWorkersAreTriedAgain(t *testing.T) {
+	s := newSim(t, 2, 1, ModeHeir)
+	var first, second coder.Work
+	for i := 0; len(first.Tasks) == 0 || len(second.Tasks) == 0; i++ {
+		w := s.work(namer.Key(fmt.Sprintf("key %d", i)), 32, false)
+		for j := range w.Tasks {
+			w.Tasks[j].Payload = "run=500ms"
+		}
+		if owner, _ := s.ownerOf(w.Submission); owner == 0 {
+			first = w
+		} else {
+			second = w
+		}
+	}
+	s.ask(0, coder.OpSubmit, first)
+	s.run(100 * time.Millisecond)
+	c := s.ask(1, coder.OpSubmit, second)
+	s.run(5 * time.Second)
+	must.Len(t, 1, c.answers, must.Sprint("the job must be done long before its deadline"))
+	must.Eq(t, coder.Done, c.answers[0].Status)
+	s.check()
+}
--- a/internal/core/dispatcher/task.go
+++ b/internal/core/dispatcher/task.go
@@ -160,7 +160,7 @@
 			n.startVerdict(r, res, t)
 		}
 	}
-	n.placer.Report(e.Worker, e.Free)
+	n.placer.Report(n.now, e.Worker, e.Free)
 }
 
 func (n *Node) startVerdict(r *keeper.Record, res StartResult, t *keeper.Task) {
@@ -168,6 +168,7 @@
 	case StartTaken:
 		t.State = keeper.Started
 		t.Since = n.now
+		n.placer.Taken(t.Worker)
 	case StartFull:
 		n.decide(eventer.StartRefused, r.ID, res.Task.Index, string(t.Worker), "full")
 		n.voidPlacement(r, res.Task.Index, t, "full")
@@ -242,7 +243,7 @@
 			n.endTask(r, t, end)
 		}
 	}
-	n.placer.Report(e.Worker, e.Free)
+	n.placer.Report(n.now, e.Worker, e.Free)
 }
 
 // endTask takes in the end of a task, and finishes the job with its last one
@@ -256,7 +257,7 @@
 	if end.OK && end.Took > 0 {
 		n.tasks.Learn(queuer.Class{Team: r.Work.Submission.Team, Kind: r.Work.Kind}, end.Took)
 	}
-	if n.placer.Ended(n.now, t.Worker, end.OK, r.Final == nil) {
+	if r.Final == nil && n.placer.Ended(n.now, t.Worker, end.OK) {
 		n.decide(eventer.WorkerAside, r.ID, end.Task.Index, string(t.Worker), "fails what it starts")
 	}
 	switch {
@@ -333,7 +334,7 @@
 		return
 	}
 	w.Lease = e.Lease
-	w.Free = e.Free
+	n.placer.Report(n.now, e.Worker, e.Free)
 	n.decide(eventer.LeaseGained, "", 0, string(e.Worker), string(e.Lease))
 }
 
--- a/internal/core/placer/placer.go
+++ b/internal/core/placer/placer.go
@@ -3,6 +3,7 @@
 package placer
 
 import (
+	"math"
 	"math/rand/v2"
 	"sort"
 	"time"
@@ -12,12 +13,26 @@
 )
 
 const (
-	// quarantineAfter is how many failures in a row, with no success, set a
-	// worker aside.
-	quarantineAfter = 4
-	// firstQuarantine doubles with each relapse up to maxQuarantine.
-	firstQuarantine = 2 * time.Second
-	maxQuarantine   = time.Minute
+	// falseAlarm is the chance that a worker like the others fails as often in
+	// a row as sets it aside.
+	falseAlarm = 0.005
+	// minFailures in a row are needed at the least.
+	minFailures = 2
+	// minRate is the part of tasks that is taken to fail anyway.
+	minRate = 0.01
+	// maxRate keeps the number of failures that are needed within bounds.
+	maxRate = 0.9
+	// maxDoublings keeps a shift within bounds.
+	maxDoublings = 6
+	// rateShare is the weight of the newest task in the part that fails.
+	rateShare = 0.02
+	// firstQuarantine doubles with each relapse up to maxQuarantine. What comes
+	// back is tried with one task, and a task that fails fails its job.
+	firstQuarantine = 5 * time.Second
+	maxQuarantine   = 5 * time.Minute
+	// firstPatience doubles with each start refused for want of room.
+	firstPatience = 100 * time.Millisecond
+	maxPatience   = time.Second
 	// candidates is how many random workers a placement compares.
 	candidates = 4
 )
@@ -57,6 +72,12 @@
 	// pending is the room of tasks placed whose start the worker has not
 	// answered yet.
 	pending Size
+	// own is the room that this instance's tasks take.
+	own Size
+	// reported is when the worker last told what it has free, and patience how
+	// long that is taken for true; tasks of other instances end unseen.
+	reported time.Time
+	patience time.Duration
 	// Lease is empty while none is held.
 	Lease namer.Lease
 	// Asking is set while a lease is being asked for or given up.
@@ -77,7 +98,9 @@
 	workers map[namer.Worker]*Worker
 	// sorted lists the workers by name.
 	sorted []*Worker
-	rng    *rand.Rand
+	// rate is the part of tasks that fail, over all workers.
+	rate float64
+	rng  *rand.Rand
 }
 
 // New returns a placer without workers.
@@ -99,7 +122,10 @@
 		old.Rack = w.Rack
 		return old
 	}
-	row := &Worker{Name: w.Name, Domain: w.Domain, Rack: w.Rack, Total: w.Total, Free: w.Total, Leaving: w.Leaving}
+	row := &Worker{
+		Name: w.Name, Domain: w.Domain, Rack: w.Rack, Total: w.Total, Free: w.Total,
+		Leaving: w.Leaving, patience: firstPatience,
+	}
 	p.workers[w.Name] = row
 	p.sorted = append(p.sorted, row)
 	sort.Slice(p.sorted, func(i, j int) bool { return p.sorted[i].Name < p.sorted[j].Name })
@@ -156,7 +182,7 @@
 	first := p.rng.IntN(n)
 	for i := 0; i < n && tried < candidates; i++ {
 		w := p.sorted[(first+i*stride(n))%n]
-		if !w.usable(now) || !need.fits(w.Free) {
+		if !w.usable(now) || !need.fits(w.room(now)) {
 			continue
 		}
 		tried++
@@ -167,10 +193,11 @@
 	if best == nil {
 		return nil
 	}
-	best.Free = best.Free.minus(need)
+	best.Free = best.room(now).minus(need)
+	best.own = best.own.plus(need)
 	best.pending = best.pending.plus(need)
 	best.Running++
-	best.probing = best.failures >= quarantineAfter
+	best.probing = best.relapses > 0
 	return best
 }
 
@@ -198,6 +225,15 @@
 	return 1 - float64(w.Free.Cores)/float64(w.Total.Cores)
 }
 
+// room returns what the worker has free: what it said, or once that is old,
+// what is left beside this instance's own tasks.
+func (w *Worker) room(now time.Time) Size {
+	if now.Sub(w.reported) <= w.patience {
+		return w.Free
+	}
+	return w.Total.minus(w.own)
+}
+
 func (w *Worker) usable(now time.Time) bool {
 	if w.Lease == "" || w.Leaving || now.Before(w.asideUntil) {
 		return false
@@ -212,6 +248,7 @@
 		return
 	}
 	w.Free = w.Free.plus(need)
+	w.own = w.own.minus(need)
 	if !w.Free.fits(w.Total) {
 		w.Free = w.Total
 	}
@@ -228,26 +265,35 @@
 	}
 }
 
-// Full notes that a worker refused a task for want of room: until it says
-// more, it has none.
+// Full notes that a worker refused a task for want of room; what it said is
+// taken for true for longer.
 func (p *Placer) Full(name namer.Worker) {
 	if w := p.workers[name]; w != nil {
-		w.Free.Cores = 0
+		w.patience = min(2*w.patience, maxPatience)
+	}
+}
+
+// Taken notes that a worker took a task.
+func (p *Placer) Taken(name namer.Worker) {
+	if w := p.workers[name]; w != nil {
+		w.patience = firstPatience
 	}
 }
 
 // Report takes in what a worker says it has free, less the room of starts that
 // it cannot have counted.
-func (p *Placer) Report(name namer.Worker, free Size) {
+func (p *Placer) Report(now time.Time, name namer.Worker, free Size) {
 	if w := p.workers[name]; w != nil {
 		w.Free = free.minus(w.pending)
+		w.reported = now
 	}
 }
 
-// Ended counts a task's end towards the worker's standing. It returns true
-// where this sets the worker aside. Failures of a job that also fails on
-// other workers are not the worker's: blame says whether they are.
-func (p *Placer) Ended(now time.Time, name namer.Worker, ok, blame bool) bool {
+// Ended counts a task's end towards the worker's standing, and returns true
+// where this sets the worker aside. Bad jobs fail on all workers alike: the
+// more tasks fail anywhere, the more failures in a row it takes.
+func (p *Placer) Ended(now time.Time, name namer.Worker, ok bool) bool {
+	p.learnRate(ok)
 	w := p.workers[name]
 	if w == nil {
 		return false
@@ -258,18 +304,30 @@
 		w.relapses = 0
 		return false
 	}
-	if !blame {
-		return false
-	}
 	w.failures++
-	if w.failures < quarantineAfter {
+	if w.failures < p.tooMany() && w.relapses == 0 {
 		return false
 	}
-	pause := firstQuarantine << min(w.relapses, 5)
+	pause := firstQuarantine << min(w.relapses, maxDoublings)
 	w.relapses++
 	w.asideUntil = now.Add(min(pause, maxQuarantine))
 	return true
 }
 
+func (p *Placer) learnRate(ok bool) {
+	failed := 1.0
+	if ok {
+		failed = 0
+	}
+	p.rate += rateShare * (failed - p.rate)
+}
+
+// tooMany returns how many failures in a row are less likely than falseAlarm
+// for a worker that fails as often as all do: rate^n < falseAlarm.
+func (p *Placer) tooMany() int {
+	rate := min(max(p.rate, minRate), maxRate)
+	return max(minFailures, int(math.Ceil(math.Log(falseAlarm)/math.Log(rate))))
+}
+
 // Aside reports whether a worker is set aside.
 func (w *Worker) Aside(now time.Time) bool { return now.Before(w.asideUntil) }
--- a/internal/core/router/router.go
+++ b/internal/core/router/router.go
@@ -54,8 +54,8 @@
 	// sorted lists the minions by name.
 	sorted []*Minion
 	peers  []namer.Incarnation
-	loans map[namer.Service]*loan
-	rng      *rand.Rand
+	loans  map[namer.Service]*loan
+	rng    *rand.Rand
 }
 
 // loan is what may be borrowed of the slots of others, for one service.
--- a/internal/edge/runner/perform.go
+++ b/internal/edge/runner/perform.go
@@ -116,9 +116,7 @@
 		}
 		renewed = time.Now()
 		after += len(answer.Ends)
-		if len(answer.Ends) > 0 {
-			r.push(dispatcher.TasksEnded{Worker: w, Lease: lease, Ends: endsOf(answer.Ends), Free: sizeOf(answer.Free)})
-		}
+		r.push(dispatcher.TasksEnded{Worker: w, Lease: lease, Ends: endsOf(answer.Ends), Free: sizeOf(answer.Free)})
 	}
 }
 
