--- a/internal/core/dispatcher/bench_test.go
+++ b/internal/core/dispatcher/bench_test.go
@@ -116,7 +116,8 @@
 			for i := range records {
 				w := &coder.Work{Submission: namer.Submission{Team: "t", Key: namer.Key(fmt.Sprint(i))}, Deadline: now, Tasks: make([]coder.TaskSpec, 1)}
 				r := n.newRecord(w, n.self.Incarnation, "")
-				r.Final, r.Confirmed = &coder.Answer{}, true
+				r.Final = &coder.Answer{}
+				n.table.Settle(r)
 				n.table.Add(r)
 			}
 			state := n.state.Snapshot()
--- a/internal/core/dispatcher/fence.go
+++ b/internal/core/dispatcher/fence.go
@@ -106,6 +106,7 @@
 
 // lose notes that nobody can tell whether a task has run, and fails its job.
 func (n *Node) lose(r *keeper.Record, index int, t *keeper.Task) {
+	n.counted(r, index, t)
 	t.State = keeper.Lost
 	r.Open--
 	n.placer.Release(t.Worker, n.sizeOf(r, index))
--- a/internal/core/dispatcher/ledger.go
+++ b/internal/core/dispatcher/ledger.go
@@ -93,8 +93,8 @@
 
 func (n *Node) remember(entries []coder.Entry) {
 	n.tail = append(n.tail, entries...)
-	if over := len(n.tail) - tailLength; over > 0 {
-		n.tail = append([]coder.Entry(nil), n.tail[over:]...)
+	if len(n.tail) > 2*tailLength {
+		n.tail = append([]coder.Entry(nil), n.tail[len(n.tail)-tailLength:]...)
 	}
 }
 
--- a/internal/core/dispatcher/owner.go
+++ b/internal/core/dispatcher/owner.go
@@ -306,7 +306,7 @@
 
 // confirm tells the callers the terminal answer.
 func (n *Node) confirm(r *keeper.Record) {
-	r.Confirmed = true
+	n.table.Settle(r)
 	waiters := r.Waiters
 	r.Waiters = nil
 	for _, w := range waiters {
@@ -317,8 +317,8 @@
 // scanDeadlines ends what is past its deadline.
 func (n *Node) scanDeadlines() {
 	var late []*keeper.Record
-	n.table.Each(func(r *keeper.Record) {
-		if r.Runner == n.self.Incarnation && !r.Settled() && n.now.After(r.Work.Deadline) {
+	n.table.EachLive(func(r *keeper.Record) {
+		if r.Runner == n.self.Incarnation && n.now.After(r.Work.Deadline) {
 			late = append(late, r)
 		}
 	})
@@ -378,8 +378,8 @@
 // own clients, is not finished.
 func (n *Node) busy() bool {
 	busy := len(n.entry.calls) > 0 || n.desk.busy()
-	n.table.Each(func(r *keeper.Record) {
-		busy = busy || (r.Runner == n.self.Incarnation && !r.Settled())
+	n.table.EachLive(func(r *keeper.Record) {
+		busy = busy || r.Runner == n.self.Incarnation
 	})
 	return busy
 }
--- a/internal/core/dispatcher/replica.go
+++ b/internal/core/dispatcher/replica.go
@@ -124,6 +124,7 @@
 	p := part{id: r.ID}
 	if !r.Copied {
 		u.Work = r.Work
+		u.Digest = r.Digest
 		p.work = true
 	}
 	for i := range r.Tasks {
@@ -217,7 +218,8 @@
 	if r == nil {
 		r = n.newRecord(u.Work, from, n.self.Incarnation)
 		r.Held = true
-		if r.IsRequest() {
+		r.Digest = u.Digest
+		if r.IsRequest() && len(r.Tasks) > 0 {
 			// From here on the runner may send it, and nobody else ever will.
 			r.Tasks[0].State = keeper.Starting
 		}
@@ -236,8 +238,8 @@
 	}
 	if u.Final != nil && r.Final == nil {
 		r.Final = u.Final
-		r.Confirmed = true
 		r.Until = n.now.Add(n.policy.Remember)
+		n.table.Settle(r)
 	}
 }
 
@@ -275,7 +277,7 @@
 	}
 	for _, place := range p.placed {
 		t := r.Task(place.Index)
-		if t.State == keeper.Placed && t.Attempt == place.Attempt {
+		if t != nil && t.State == keeper.Placed && t.Attempt == place.Attempt {
 			n.clearStart(r, place.Index, t)
 		}
 	}
@@ -333,7 +335,9 @@
 			continue
 		}
 		for _, place := range p.placed {
-			r.Tasks[place.Index].Shown = false
+			if t := r.Task(place.Index); t != nil {
+				t.Shown = false
+			}
 		}
 		n.markDirty(r)
 	}
--- a/internal/core/dispatcher/task.go
+++ b/internal/core/dispatcher/task.go
@@ -48,7 +48,7 @@
 	}
 	part := max(1, team.Quota/max(1, len(n.state.Members(""))))
 	open := 0
-	n.table.Each(func(r *keeper.Record) {
+	n.table.EachLive(func(r *keeper.Record) {
 		if r.Runner == n.self.Incarnation && r.Final == nil && r.Work.Submission.Team == team.Name {
 			open += r.Open
 		}
@@ -117,8 +117,17 @@
 	return true
 }
 
+// counted notes that what the worker reports from now on counts the task, or
+// that it never will. It is called when a task stops to be Placed or Starting.
+func (n *Node) counted(r *keeper.Record, index int, t *keeper.Task) {
+	if t.State == keeper.Placed || t.State == keeper.Starting {
+		n.placer.Answered(t.Worker, n.sizeOf(r, index))
+	}
+}
+
 // voidPlacement puts a task back that has provably not started.
 func (n *Node) voidPlacement(r *keeper.Record, index int, t *keeper.Task, why string) {
+	n.counted(r, index, t)
 	n.placer.Release(t.Worker, n.sizeOf(r, index))
 	n.decide(eventer.PlacementVoid, r.ID, index, string(t.Worker), why)
 	t.State = keeper.Queued
@@ -152,11 +161,7 @@
 func (n *Node) startAnswered(e StartAnswered) {
 	for _, res := range e.Results {
 		r, t := n.find(res.Task)
-		if t == nil || t.Worker != e.Worker || t.Lease != e.Lease {
-			continue
-		}
-		n.placer.Answered(e.Worker, n.sizeOf(r, res.Task.Index))
-		if t.State == keeper.Starting {
+		if t != nil && t.Worker == e.Worker && t.Lease == e.Lease && t.State == keeper.Starting {
 			n.startVerdict(r, res, t)
 		}
 	}
@@ -166,6 +171,7 @@
 func (n *Node) startVerdict(r *keeper.Record, res StartResult, t *keeper.Task) {
 	switch res.Verdict {
 	case StartTaken:
+		n.counted(r, res.Task.Index, t)
 		t.State = keeper.Started
 		t.Since = n.now
 		n.placer.Taken(t.Worker)
@@ -182,11 +188,6 @@
 // startLost asks the worker, under a fence, what became of starts whose
 // answer did not come. The lease is given up with it.
 func (n *Node) startLost(e StartLost) {
-	for _, id := range e.Tasks {
-		if r, t := n.find(id); t != nil && t.Lease == e.Lease {
-			n.placer.Answered(e.Worker, n.sizeOf(r, id.Index))
-		}
-	}
 	n.leaseEnded(LeaseEnded{Worker: e.Worker, Lease: e.Lease})
 }
 
@@ -199,11 +200,11 @@
 		n.decide(eventer.LeaseEnded, "", 0, string(e.Worker), string(e.Lease))
 	}
 	var tasks []namer.Task
-	n.table.Each(func(r *keeper.Record) {
+	n.table.EachLive(func(r *keeper.Record) {
 		if r.Runner != n.self.Incarnation || r.Final != nil {
 			return
 		}
-		tasks = append(tasks, doubt(r, e)...)
+		tasks = append(tasks, n.doubt(r, e)...)
 	})
 	if len(tasks) == 0 {
 		return
@@ -218,7 +219,7 @@
 	n.fences.add(&fence{worker: e.Worker, lease: e.Lease, tasks: tasks, since: n.now})
 }
 
-func doubt(r *keeper.Record, e LeaseEnded) []namer.Task {
+func (n *Node) doubt(r *keeper.Record, e LeaseEnded) []namer.Task {
 	var tasks []namer.Task
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
@@ -226,6 +227,7 @@
 			continue
 		}
 		if t.State == keeper.Starting || t.State == keeper.Started {
+			n.counted(r, i, t)
 			t.State = keeper.Doubtful
 			tasks = append(tasks, namer.Task{ID: r.ID, Index: i})
 		}
@@ -236,7 +238,7 @@
 func (n *Node) tasksEnded(e TasksEnded) {
 	for _, end := range e.Ends {
 		r, t := n.find(end.Task)
-		if t == nil || t.Worker != e.Worker || r.Runner != n.self.Incarnation {
+		if t == nil || t.Worker != e.Worker || r.Final != nil || r.Runner != n.self.Incarnation {
 			continue
 		}
 		if t.State == keeper.Starting || t.State == keeper.Started || t.State == keeper.Doubtful {
@@ -249,6 +251,7 @@
 // endTask takes in the end of a task, and finishes the job with its last one
 // or its first that failed.
 func (n *Node) endTask(r *keeper.Record, t *keeper.Task, end TaskEnd) {
+	n.counted(r, end.Task.Index, t)
 	t.State = keeper.Ended
 	t.OK = end.OK
 	t.Output = end.Output
@@ -272,22 +275,25 @@
 }
 
 // stopRest stops the tasks of a finished submission that still run, since
-// nobody waits for them.
+// nobody waits for them, and gives up their room: workers tell what they have
+// free. The answer has been written by now; the states are not read again.
 func (n *Node) stopRest(r *keeper.Record) {
+	if r.IsRequest() {
+		return
+	}
 	byWorker := make(map[namer.Worker][]namer.Task)
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
 		switch t.State {
-		case keeper.Starting, keeper.Started:
+		case keeper.Starting, keeper.Started, keeper.Doubtful:
 			byWorker[t.Worker] = append(byWorker[t.Worker], namer.Task{ID: r.ID, Index: i})
 		case keeper.Placed:
-			n.placer.Release(t.Worker, n.sizeOf(r, i))
-			n.placer.Answered(t.Worker, n.sizeOf(r, i))
-		case keeper.Queued, keeper.Doubtful, keeper.Ended, keeper.Lost:
+		case keeper.Queued, keeper.Ended, keeper.Lost:
+			continue
 		}
-	}
-	if r.IsRequest() {
-		return
+		n.counted(r, i, t)
+		n.placer.Release(t.Worker, n.sizeOf(r, i))
+		t.State = keeper.Lost
 	}
 	for _, w := range sortedWorkers(byWorker) {
 		n.do(StopTasks{Worker: w, Tasks: byWorker[w]})
--- a/internal/core/keeper/table.go
+++ b/internal/core/keeper/table.go
@@ -159,6 +159,8 @@
 // members run.
 type Table struct {
 	records map[namer.ID]*Record
+	// live holds those of records that are not settled.
+	live map[namer.ID]*Record
 	// known never holds an id that records holds.
 	known map[namer.ID]coder.Known
 }
@@ -167,6 +169,7 @@
 func New() *Table {
 	return &Table{
 		records: make(map[namer.ID]*Record),
+		live:    make(map[namer.ID]*Record),
 		known:   make(map[namer.ID]coder.Known),
 	}
 }
@@ -178,6 +181,29 @@
 func (t *Table) Add(r *Record) {
 	t.records[r.ID] = r
 	delete(t.known, r.ID)
+	if !r.Settled() {
+		t.live[r.ID] = r
+	}
+}
+
+// Settle notes that nothing is left to do for a record, and drops what is not
+// needed any more to tell its answer again.
+func (t *Table) Settle(r *Record) {
+	r.Confirmed = true
+	delete(t.live, r.ID)
+	r.Tasks = nil
+	r.Racks = nil
+	r.Work = &coder.Work{
+		Submission: r.Work.Submission, Kind: r.Work.Kind,
+		Service: r.Work.Service, Deadline: r.Work.Deadline,
+	}
+}
+
+// EachLive calls f with each record that is not settled, in no order.
+func (t *Table) EachLive(f func(*Record)) {
+	for _, r := range t.live {
+		f(r)
+	}
 }
 
 // Learn notes that another member runs a submission.
@@ -231,7 +257,10 @@
 }
 
 // Drop takes a record out of the table at once.
-func (t *Table) Drop(id namer.ID) { delete(t.records, id) }
+func (t *Table) Drop(id namer.ID) {
+	delete(t.records, id)
+	delete(t.live, id)
+}
 
 // Sort puts records into the order of their ids, so that what is done to them
 // in turn is the same in every run.
@@ -240,11 +269,4 @@
 }
 
 // Idle reports whether every record is settled.
-func (t *Table) Idle() bool {
-	for _, r := range t.records {
-		if !r.Settled() {
-			return false
-		}
-	}
-	return true
-}
+func (t *Table) Idle() bool { return len(t.live) == 0 }
--- a/internal/core/viewer/snapshot.go
+++ b/internal/core/viewer/snapshot.go
@@ -17,6 +17,7 @@
 		History: s.history,
 		Domains: s.domains,
 		Newest:  s.newest,
+		Tidied:  s.tidied,
 	}
 	for _, m := range s.members {
 		snap.Members = append(snap.Members, coder.SnapMember{Member: m.Member, Joined: m.joined, Settled: m.settled, Retired: m.retired})
@@ -48,6 +49,7 @@
 	s := New()
 	s.Offset = p.Upto
 	s.newest = p.Newest
+	s.tidied = p.Tidied
 	s.config = p.Config
 	s.history = p.History
 	s.domains = p.Domains
--- a/internal/core/viewer/state.go
+++ b/internal/core/viewer/state.go
@@ -34,6 +34,8 @@
 	// losses holds, per domain, a time before which keys may be forgotten.
 	losses map[namer.Domain]time.Time
 	claims map[namer.ID]claim
+	// tidied is the newest time at which old claims were dropped.
+	tidied time.Time
 
 	// domains are the founding domains, sorted; set once.
 	domains []namer.Domain
@@ -212,6 +214,10 @@
 // forgetClaims drops old claims by the times in the log alone, so that every
 // reader drops the same ones.
 func (s *State) forgetClaims() {
+	if s.newest.Sub(s.tidied) < claimMemory/16 {
+		return
+	}
+	s.tidied = s.newest
 	for id, c := range s.claims {
 		if s.newest.Sub(c.at) > claimMemory {
 			delete(s.claims, id)
--- a/internal/wire/coder/message.go
+++ b/internal/wire/coder/message.go
@@ -90,6 +90,8 @@
 	// the runner has proved unused.
 	Placed []Placement `cbor:"3,keyasint,omitempty"`
 	Final  *Answer     `cbor:"4,keyasint,omitempty"`
+	// Digest is set where Work is no longer whole.
+	Digest string `cbor:"6,keyasint,omitempty"`
 	// Deny is set alone, and asks whether the backup too knows nothing of the
 	// submission, so that its caller may be told that it has not run.
 	Deny bool `cbor:"5,keyasint,omitempty"`
--- a/internal/wire/coder/record.go
+++ b/internal/wire/coder/record.go
@@ -99,6 +99,7 @@
 	History []SnapRevision `cbor:"7,keyasint"`
 	Domains []namer.Domain `cbor:"8,keyasint"`
 	Newest  time.Time      `cbor:"9,keyasint"`
+	Tidied  time.Time      `cbor:"10,keyasint"`
 }
 
 // SnapMember is a member with its places in the log.
