--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,7 @@
 fuzz:
 	go test -run XXX -fuzz FuzzDecodeMessage -fuzztime 20s ./internal/wire/coder
 	go test -run XXX -fuzz FuzzDecodeRecord -fuzztime 20s ./internal/wire/coder
+
+# The slopes of docs/CAPACITY.md.
+bench:
+	go test -run XXX -bench . -benchmem ./internal/core/dispatcher ./internal/wire/coder
--- a/internal/bench/loader/run.go
+++ b/internal/bench/loader/run.go
@@ -185,7 +185,15 @@
 }
 
 func (r *run) job(ctx context.Context, c *client.Client, l *Load, a *arrival) (coder.Answer, error) {
-	key, err := namer.NewKey("")
+	var home namer.Domain
+	if l.Home {
+		domain, err := c.Home(ctx)
+		if err != nil {
+			return coder.Answer{}, err
+		}
+		home = domain
+	}
+	key, err := namer.NewKey(home)
 	if err != nil {
 		return coder.Answer{}, err
 	}
--- a/internal/bench/loader/scenario.go
+++ b/internal/bench/loader/scenario.go
@@ -56,6 +56,8 @@
 	From, Until time.Duration
 	// Flood marks what the other kinds are to be kept from.
 	Flood bool
+	// Home has each key name the domain of the instance that is called.
+	Home bool
 	// Fail makes the work fail.
 	Fail bool
 	// Cancel is the part of the jobs that are cancelled at half their time.
@@ -145,6 +147,7 @@
 		From:     sec.Key("from").MustDuration(0),
 		Until:    sec.Key("until").MustDuration(0),
 		Flood:    sec.Key("flood").MustBool(false),
+		Home:     sec.Key("home").MustBool(false),
 		Fail:     sec.Key("fail").MustBool(false),
 		Cancel:   sec.Key("cancel").MustFloat64(0),
 	}
--- a/internal/edge/runner/runner.go
+++ b/internal/edge/runner/runner.go
@@ -26,8 +26,8 @@
 )
 
 const (
-	tickEvery = 10 * time.Millisecond
-	listEvery = 250 * time.Millisecond
+	tickEvery = 25 * time.Millisecond
+	listEvery = time.Second
 	// eventQueue bounds the events that wait for the core.
 	eventQueue = 1 << 14
 	// maxBatch bounds the events of one step.
