dispatcher: the state outlives the log's retention on a quiet fleet

Change: the first member writes one every 10 minutes, the others after 20. TestStateOutlivesRetention: red (revision 0 in force), green.

--- a/internal/core/dispatcher/ledger.go
+++ b/internal/core/dispatcher/ledger.go
@@ -14,6 +14,10 @@
 // snapshotEvery is how many records may follow a snapshot before the next.
 const snapshotEvery = 256
 
+// snapshotAge is how old a snapshot may get: it has to be written again before
+// the log forgets it, whether anything has changed or not.
+const snapshotAge = 10 * time.Minute
+
 // ledger is what the instance knows about the platform's log itself.
 type ledger struct {
 	// read is when the log last answered a read; zero before the first.
@@ -26,8 +30,11 @@
 	// denials wait for a read of the log that is begun after them.
 	denials []*denial
 	// reading is set while a read for denials is on its way.
-	reading   bool
-	snapshot  namer.Offset
+	reading bool
+	// snapshot is the last one read, and snapshotRead when.
+	snapshot     namer.Offset
+	snapshotRead time.Time
+	// snapAsked is the state's offset when this instance last wrote one.
 	snapAsked namer.Offset
 }
 
@@ -73,6 +80,7 @@
 	for _, e := range entries {
 		if e.Record.Snapshot != nil {
 			n.ledger.snapshot = e.Offset
+			n.ledger.snapshotRead = n.now
 		}
 	}
 	if replaced {
@@ -223,13 +231,22 @@
 	return true
 }
 
+// snapshotOld reports whether the last snapshot is old. The first member of
+// all writes the next; the others do where it has not for as long again.
+func (n *Node) snapshotOld() bool {
+	age := n.now.Sub(n.ledger.snapshotRead)
+	first := n.state.Members("")[0].Incarnation == n.self.Incarnation
+	return first && age > snapshotAge || age > 2*snapshotAge
+}
+
 // maybeSnapshot repeats the state in the log before its records are too far
 // back. Any instance may do so; a second snapshot does no harm.
 func (n *Node) maybeSnapshot() {
 	behind := n.state.Offset - max(n.ledger.snapshot, n.ledger.snapAsked)
-	if behind < snapshotEvery || !n.isMember() {
+	if !n.isMember() || behind < snapshotEvery && !n.snapshotOld() {
 		return
 	}
 	n.ledger.snapAsked = n.state.Offset
+	n.ledger.snapshotRead = n.now
 	n.do(Append{coder.Record{Snapshot: n.state.Snapshot()}})
 }
--- a/internal/core/dispatcher/life_test.go
+++ b/internal/core/dispatcher/life_test.go
@@ -164,3 +164,26 @@
 	must.Len(t, 1, c.answers, must.Sprint("the job must be done long before its deadline"))
 	must.Eq(t, coder.Done, c.answers[0].Status)
 }
+
+// What is in force outlives the log's retention: it is written again in time,
+// also where nothing else happens.
+func TestStateOutlivesRetention(t *testing.T) {
+	s := newSim(t, 2, 1, ModeHeir)
+	for _, n := range s.nodes {
+		n.node.ledger.snapshotRead = s.now.Add(-2 * snapshotAge)
+	}
+	s.run(time.Second)
+	s.log.Faults.KeepMillis = 500
+	s.run(time.Second)
+	for _, n := range s.nodes {
+		n.node.ledger.snapshotRead = s.now.Add(-2 * snapshotAge)
+	}
+	s.run(300 * time.Millisecond)
+	s.log.Faults.KeepMillis = 0
+	s.kill(0)
+	s.kill(1)
+	n := s.addNode()
+	s.run(5 * time.Second)
+	must.Eq(t, namer.Revision(1), n.node.state.Config().Revision)
+	must.Eq(t, simDomain, n.node.state.Domains()[0])
+}
