dispatcher: beats go to other domains at an eighth of the rate

Ends of tasks are polled every 1.5 s, half of a lease. A test that a leaving minion gets nothing new.

--- a/internal/bench/assembler/fleet_test.go
+++ b/internal/bench/assembler/fleet_test.go
@@ -54,3 +54,40 @@
 	must.Eq(t, 100, f.Platform.Stats().Starts)
 	must.Eq(t, 0, f.Platform.Stats().Doubles)
 }
+
+// A minion that the platform lists as leaving gets nothing once the instances
+// have seen the list.
+func TestLeavingMinionGetsNothingNew(t *testing.T) {
+	f := akademia(t, 3)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	var leaving []namer.Minion
+	for _, c := range f.Clients {
+		lines, err := c.Minions(ctx)
+		must.NoError(t, err)
+		leaving = append(leaving, lines[0].Name)
+		must.True(t, f.Platform.SetFaults(emulator.FaultBody{Name: string(lines[0].Name), Minion: &emulator.MinionFaults{Leaving: true}}))
+	}
+	for i, c := range f.Clients {
+		for seen := false; !seen; {
+			must.NoError(t, ctx.Err(), must.Sprint("the instance has not seen that a minion is leaving"))
+			lines, err := c.Minions(ctx)
+			must.NoError(t, err)
+			seen = lines[0].Name == leaving[i] && lines[0].Leaving
+		}
+	}
+	for _, c := range f.Clients {
+		for range 40 {
+			a, err := c.Request(ctx, "materialy-zajec", "", server.RequestBody{Kind: "word", Repeatable: true, Payload: "run=1ms"})
+			must.NoError(t, err)
+			must.Eq(t, coder.Done, a.Status)
+		}
+	}
+	for _, counts := range f.Platform.Stats().ByName {
+		for _, name := range leaving {
+			if counts.Name == string(name) {
+				must.Eq(t, emulator.MinionCounts{}, counts.Minion)
+			}
+		}
+	}
+}
--- a/internal/core/dispatcher/circle.go
+++ b/internal/core/dispatcher/circle.go
@@ -42,6 +42,9 @@
 	syncSent    time.Time
 	settleAsked time.Time
 	lastBeat    time.Time
+	// beats counts the rounds of beats; members of other domains get one of
+	// farBeats.
+	beats int
 }
 
 // peer is a row of the table of peers.
@@ -182,12 +185,16 @@
 		return
 	}
 	n.circle.lastBeat = n.now
+	n.circle.beats++
 	deaf := n.unheard(deafAfter)
 	for _, inc := range n.peerNames() {
 		p := n.circle.peers[inc]
 		if !p.linked || !p.evictAsked.IsZero() {
 			continue
 		}
+		if p.member.Domain != n.self.Domain && n.circle.beats%farBeats != 0 {
+			continue
+		}
 		n.send(inc, &coder.Message{Beat: &coder.Beat{
 			Offset:   n.state.Offset,
 			Revision: n.state.Config().Revision,
--- a/internal/core/dispatcher/node.go
+++ b/internal/core/dispatcher/node.go
@@ -24,6 +24,9 @@
 // Times that the protocol works with.
 const (
 	beatEvery = 250 * time.Millisecond
+	// farBeats is how many rounds of beats one goes to other domains; it tells
+	// them what the log says, and nothing there waits for it.
+	farBeats = 8
 	// suspectAfter is how long a member may be silent.
 	suspectAfter = 1500 * time.Millisecond
 	// deafAfter is how long a member may be silent before it is told so, and
--- a/internal/edge/caller/caller.go
+++ b/internal/edge/caller/caller.go
@@ -19,6 +19,9 @@
 	callTimeout = 2 * time.Second
 	// PollWait is how long a poll may stay open with nothing to tell.
 	PollWait = time.Second
+	// endsWait is the same for the ends of tasks. It is half of a lease, which
+	// each poll renews.
+	endsWait = 1500 * time.Millisecond
 	// connsPerHost bounds the connections to one worker or minion; a minion
 	// takes 64 from all instances together.
 	connsPerHost = 8
@@ -132,7 +135,7 @@
 // Ends polls for the ends of a lease's tasks, and so renews the lease.
 func (c *Caller) Ends(ctx context.Context, addr, lease string, after int) (*emulator.EndsAnswer, error) {
 	var out emulator.EndsAnswer
-	body := emulator.EndsBody{Lease: lease, After: after, WaitMillis: int(PollWait / time.Millisecond)}
+	body := emulator.EndsBody{Lease: lease, After: after, WaitMillis: int(endsWait / time.Millisecond)}
 	if err := c.post(ctx, addr, "/v1/ends", body, &out); err != nil {
 		return nil, err
 	}
