--- a/internal/bench/assembler/fleet.go
+++ b/internal/bench/assembler/fleet.go
@@ -16,6 +16,7 @@
 	"github.com/heatherslip/heatherslip/internal/config/generator"
 	"github.com/heatherslip/heatherslip/internal/edge/server"
 	"github.com/heatherslip/heatherslip/internal/standin/emulator"
+	"github.com/heatherslip/heatherslip/internal/wire/describer"
 	"github.com/heatherslip/heatherslip/internal/wire/namer"
 )
 
@@ -80,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	f.Platform.Register(emulator.ListInstance{Name: name, Peer: d.Peer})
+	f.Platform.Register(describer.ListInstance{Name: name, Peer: d.Peer})
 	f.daemons = append(f.daemons, d)
 	f.Clients = append(f.Clients, client.New(d.API, f.opts.Token, f.opts.Team))
 	return nil
--- a/internal/bench/breaker/faults_test.go
+++ b/internal/bench/breaker/faults_test.go
@@ -21,6 +21,7 @@
 	"github.com/heatherslip/heatherslip/internal/edge/server"
 	"github.com/heatherslip/heatherslip/internal/standin/emulator"
 	"github.com/heatherslip/heatherslip/internal/wire/coder"
+	"github.com/heatherslip/heatherslip/internal/wire/describer"
 	"github.com/heatherslip/heatherslip/internal/wire/namer"
 )
 
@@ -86,7 +87,7 @@
 	text := fmt.Sprintf("[instance]\nname = e%d\ndomain = radom\nlisten = %s\npeer = %s\nadvertise = %s\n[platform]\naddress = %s\n[peers]\nkey = k\n[log]\nlevel = debug\n",
 		i, r.api[i], peer, r.relays[i].Addr(), r.platform.Addr())
 	must.NoError(r.t, os.WriteFile(r.file(i), []byte(text), 0o600))
-	r.platform.Register(emulator.ListInstance{Name: fmt.Sprint(i), Peer: r.relays[i].Addr()})
+	r.platform.Register(describer.ListInstance{Name: fmt.Sprint(i), Peer: r.relays[i].Addr()})
 }
 
 func (r *rig) file(i int) string { return filepath.Join(r.dir, fmt.Sprintf("e%d.ini", i)) }
--- a/internal/core/dispatcher/deny.go
+++ b/internal/core/dispatcher/deny.go
@@ -25,7 +25,7 @@
 	case n.mode == ModeHeir && heir != "" && !n.silent(heir):
 		n.replica.denials = append(n.replica.denials, d)
 	case n.logUp():
-		n.ledger.denials = append(n.ledger.denials, d)
+		n.log.denials = append(n.log.denials, d)
 	default:
 		answer.Status, answer.Ran = coder.Unknown, coder.RanUnknown
 		n.refuseWith(a, answer)
@@ -77,10 +77,10 @@
 // runDenials has the log read for the denials that wait for it, one read at a
 // time.
 func (n *Node) runDenials() {
-	if len(n.ledger.denials) == 0 || n.ledger.reading {
+	if len(n.log.denials) == 0 || n.log.reading {
 		return
 	}
-	n.ledger.reading = true
+	n.log.reading = true
 	n.do(ReadLog{})
 }
 
@@ -88,7 +88,7 @@
 // made sure.
 func (n *Node) readDenials(asked time.Time) {
 	var waiting []*denial
-	for _, d := range n.ledger.denials {
+	for _, d := range n.log.denials {
 		switch {
 		case !asked.Before(d.since):
 			n.denied(d)
@@ -98,5 +98,5 @@
 			waiting = append(waiting, d)
 		}
 	}
-	n.ledger.denials = append(n.ledger.denials[:0], waiting...)
+	n.log.denials = append(n.log.denials[:0], waiting...)
 }
--- a/internal/core/dispatcher/entry.go
+++ b/internal/core/dispatcher/entry.go
@@ -107,7 +107,7 @@
 		return
 	}
 	if e.Op == coder.OpSubmit && e.Work.Service != "" && e.Work.Repeatable {
-		n.askDesk(e)
+		n.askRequest(e)
 		return
 	}
 	c := &call{id: e.Call, op: e.Op, work: e.Work, wait: e.Wait, since: n.now}
@@ -233,7 +233,7 @@
 func (n *Node) maybeGiveUp(c *call, to namer.Incarnation) {
 	late := n.now.After(c.work.Deadline)
 	waited := n.now.Sub(c.since) > forwardGrace
-	hopeless := !n.logUp() && n.now.Sub(n.circle.born) > joinWait && n.now.Sub(c.since) > beatEvery
+	hopeless := !n.logUp() && n.now.Sub(n.membership.born) > joinWait && n.now.Sub(c.since) > beatEvery
 	if !late && !waited && !hopeless {
 		return
 	}
@@ -254,7 +254,7 @@
 
 // outcome takes what the owner said of a call.
 func (n *Node) outcome(from namer.Incarnation, o *coder.Outcome) {
-	n.circle.peer(from, n.now).heard = n.now
+	n.membership.peer(from, n.now).heard = n.now
 	c, found := n.entry.calls[o.Call]
 	if !found || c.target != from {
 		return
--- a/internal/core/dispatcher/fence.go
+++ b/internal/core/dispatcher/fence.go
@@ -25,8 +25,8 @@
 	holder namer.Incarnation
 	lease  namer.Lease
 	tasks  []namer.Task
-	// bars is set where no key may be owned before the answer.
-	bars    bool
+	// blocks is set where no key may be owned before the answer.
+	blocks  bool
 	since   time.Time
 	sentAt  time.Time
 	waiting bool
@@ -40,11 +40,11 @@
 	f.open[q.id] = q
 }
 
-// barring reports whether an answer is missing without which no key may be
+// blocking reports whether an answer is missing without which no key may be
 // owned.
-func (f *fences) barring() bool {
+func (f *fences) blocking() bool {
 	for _, q := range f.open {
-		if q.bars {
+		if q.blocks {
 			return true
 		}
 	}
@@ -181,22 +181,22 @@
 }
 
 // membersGone takes over what members that are gone were running, and fences
-// their leases. Where history was lost, this bars all ownership until the
+// their leases. Where history was lost, this blocks all ownership until the
 // workers have answered, since a member that is gone may hold starts that
 // nobody here knows of.
 func (n *Node) membersGone() {
 	lost, happened := n.state.LostUntil(n.self.Domain)
-	bars := happened && n.now.Sub(lost) < workerDead
+	blocks := happened && n.now.Sub(lost) < workerDead
 	for _, inc := range n.goneHolders() {
-		n.takeOver(inc, bars)
+		n.takeOver(inc, blocks)
 	}
 }
 
 // goneHolders lists the incarnations that are gone and not yet fenced.
 func (n *Node) goneHolders() []namer.Incarnation {
 	seen := make(map[namer.Incarnation]bool)
-	for inc := range n.circle.gone {
-		if !n.circle.fenced[inc] {
+	for inc := range n.membership.gone {
+		if !n.membership.fenced[inc] {
 			seen[inc] = true
 		}
 	}
@@ -215,8 +215,8 @@
 
 // takeOver makes this instance the runner of what a member that is gone ran
 // and this one backed up.
-func (n *Node) takeOver(gone namer.Incarnation, bars bool) {
-	n.circle.fenced[gone] = true
+func (n *Node) takeOver(gone namer.Incarnation, blocks bool) {
+	n.membership.fenced[gone] = true
 	doubtful := make(map[grant][]namer.Task)
 	var mine []*keeper.Record
 	n.table.Each(func(r *keeper.Record) {
@@ -229,7 +229,7 @@
 		n.inherit(r, doubtful)
 	}
 	for _, w := range n.placer.All() {
-		n.fences.add(&fence{worker: w.Name, holder: gone, bars: bars, since: n.now})
+		n.fences.add(&fence{worker: w.Name, holder: gone, blocks: blocks, since: n.now})
 	}
 	for _, g := range sortedGrants(doubtful) {
 		n.fences.add(&fence{worker: g.worker, holder: gone, lease: g.lease, tasks: doubtful[g], since: n.now})
--- a/internal/core/dispatcher/life_test.go
+++ b/internal/core/dispatcher/life_test.go
@@ -123,7 +123,7 @@
 
 // A member that hears nobody must not evict the others, which hear each other
 // and it: history would be lost.
-func TestDeafMemberIsTheOneEvicted(t *testing.T) {
+func TestMemberThatHearsNobodyIsEvicted(t *testing.T) {
 	s := newSim(t, 3, 1, ModeHeir)
 	was := s.nodes[2].inc
 	s.cut[[2]int{0, 2}] = true
@@ -170,13 +170,13 @@
 func TestStateOutlivesRetention(t *testing.T) {
 	s := newSim(t, 2, 1, ModeHeir)
 	for _, n := range s.nodes {
-		n.node.ledger.snapshotRead = s.now.Add(-2 * snapshotAge)
+		n.node.log.snapshotRead = s.now.Add(-2 * snapshotAge)
 	}
 	s.run(time.Second)
 	s.log.Faults.KeepMillis = 500
 	s.run(time.Second)
 	for _, n := range s.nodes {
-		n.node.ledger.snapshotRead = s.now.Add(-2 * snapshotAge)
+		n.node.log.snapshotRead = s.now.Add(-2 * snapshotAge)
 	}
 	s.run(300 * time.Millisecond)
 	s.log.Faults.KeepMillis = 0
--- a/internal/core/dispatcher/ledger.go
+++ b/internal/core/dispatcher/log.go
@@ -18,8 +18,8 @@
 // the log forgets it, whether anything has changed or not.
 const snapshotAge = 10 * time.Minute
 
-// ledger is what the instance knows about the platform's log itself.
-type ledger struct {
+// logState is what the instance knows about the platform's log itself.
+type logState struct {
 	// read is when the log last answered a read; zero before the first.
 	read time.Time
 	down bool
@@ -40,27 +40,27 @@
 
 // logUp reports whether the log has answered lately.
 func (n *Node) logUp() bool {
-	return !n.ledger.down && !n.ledger.read.IsZero() && n.now.Sub(n.ledger.read) < logSilence
+	return !n.log.down && !n.log.read.IsZero() && n.now.Sub(n.log.read) < logSilence
 }
 
 func (n *Node) logFailed() {
-	n.ledger.reading = false
-	if !n.ledger.down {
+	n.log.reading = false
+	if !n.log.down {
 		n.decide(eventer.LogDown, "", 0, "", "")
 	}
-	n.ledger.down = true
+	n.log.down = true
 }
 
 func (n *Node) logRead(e LogRead) {
-	if n.ledger.down {
+	if n.log.down {
 		n.decide(eventer.LogUp, "", 0, "", "")
 	}
-	n.ledger.down = false
-	n.ledger.reading = false
-	n.ledger.read = n.now
+	n.log.down = false
+	n.log.reading = false
+	n.log.read = n.now
 	n.learnRecords(e.Entries)
-	if n.circle.stale && !e.Asked.Before(n.circle.staleSince) {
-		n.circle.stale = false
+	if n.membership.stale && !e.Asked.Before(n.membership.staleSince) {
+		n.membership.stale = false
 	}
 	n.readDenials(e.Asked)
 	n.maybeSnapshot()
@@ -79,8 +79,8 @@
 	n.remember(entries)
 	for _, e := range entries {
 		if e.Record.Snapshot != nil {
-			n.ledger.snapshot = e.Offset
-			n.ledger.snapshotRead = n.now
+			n.log.snapshot = e.Offset
+			n.log.snapshotRead = n.now
 		}
 	}
 	if replaced {
@@ -121,8 +121,8 @@
 		n.decide(eventer.RevisionLost, "", 0, "", "base is not in force")
 	}
 	if c.Gone != "" {
-		n.circle.gone[c.Gone] = true
-		n.circle.fenced[c.Gone] = !n.isMember()
+		n.membership.gone[c.Gone] = true
+		n.membership.fenced[c.Gone] = !n.isMember()
 		n.entry.unlink(c.Gone)
 		n.decide(eventer.Evicted, "", 0, string(c.Gone), "")
 	}
@@ -160,28 +160,28 @@
 		for _, t := range n.policy.Teams {
 			c := queuer.Class{Team: t.Name, Kind: k.Name}
 			n.tasks.SetWeight(c, k.Weight)
-			n.desk.queue.SetWeight(c, k.Weight)
+			n.requests.queue.SetWeight(c, k.Weight)
 		}
 	}
 }
 
 // claim asks the log to make this instance the submission's runner.
 func (n *Node) claim(sub namer.Submission) {
-	n.ledger.claims = append(n.ledger.claims, sub)
+	n.log.claims = append(n.log.claims, sub)
 }
 
 // runClaims appends the waiting claims in one record. One append is on its
 // way at a time, so that a slow log gets fewer and larger ones.
 func (n *Node) runClaims() {
-	if len(n.ledger.claims) == 0 || !n.logUp() {
+	if len(n.log.claims) == 0 || !n.logUp() {
 		return
 	}
-	if n.now.Sub(n.ledger.claimSent) < appendAgain {
+	if n.now.Sub(n.log.claimSent) < appendAgain {
 		return
 	}
-	n.ledger.claimSent = n.now
-	keys := make([]coder.ClaimKey, len(n.ledger.claims))
-	for i, sub := range n.ledger.claims {
+	n.log.claimSent = n.now
+	keys := make([]coder.ClaimKey, len(n.log.claims))
+	for i, sub := range n.log.claims {
 		keys[i] = coder.ClaimKey{Submission: sub}
 	}
 	n.do(Append{coder.Record{Claim: &coder.Claim{Incarnation: n.self.Incarnation, Keys: keys, At: n.now}}})
@@ -189,18 +189,18 @@
 
 // settleClaims looks which of the waiting claims the log now answers.
 func (n *Node) settleClaims() {
-	waiting := n.ledger.claims[:0]
+	waiting := n.log.claims[:0]
 	settled := false
-	for _, sub := range n.ledger.claims {
+	for _, sub := range n.log.claims {
 		if n.settleClaim(sub) {
 			settled = true
 			continue
 		}
 		waiting = append(waiting, sub)
 	}
-	n.ledger.claims = waiting
+	n.log.claims = waiting
 	if settled {
-		n.ledger.claimSent = time.Time{}
+		n.log.claimSent = time.Time{}
 	}
 }
 
@@ -234,7 +234,7 @@
 // snapshotOld reports whether the last snapshot is old. The first member of
 // all writes the next; the others do where it has not for as long again.
 func (n *Node) snapshotOld() bool {
-	age := n.now.Sub(n.ledger.snapshotRead)
+	age := n.now.Sub(n.log.snapshotRead)
 	first := n.state.Members("")[0].Incarnation == n.self.Incarnation
 	return first && age > snapshotAge || age > 2*snapshotAge
 }
@@ -242,11 +242,11 @@
 // maybeSnapshot repeats the state in the log before its records are too far
 // back. Any instance may do so; a second snapshot does no harm.
 func (n *Node) maybeSnapshot() {
-	behind := n.state.Offset - max(n.ledger.snapshot, n.ledger.snapAsked)
+	behind := n.state.Offset - max(n.log.snapshot, n.log.snapAsked)
 	if !n.isMember() || behind < snapshotEvery && !n.snapshotOld() {
 		return
 	}
-	n.ledger.snapAsked = n.state.Offset
-	n.ledger.snapshotRead = n.now
+	n.log.snapAsked = n.state.Offset
+	n.log.snapshotRead = n.now
 	n.do(Append{coder.Record{Snapshot: n.state.Snapshot()}})
 }
--- a/internal/core/dispatcher/node.go
+++ b/internal/core/dispatcher/node.go
@@ -24,14 +24,14 @@
 // Times that the protocol works with.
 const (
 	beatEvery = 250 * time.Millisecond
-	// farBeats is how many rounds of beats one goes to other domains; it tells
+	// remoteBeats is how many rounds of beats one goes to other domains; it tells
 	// them what the log says, and nothing there waits for it.
-	farBeats = 8
+	remoteBeats = 8
 	// suspectAfter is how long a member may be silent.
 	suspectAfter = 1500 * time.Millisecond
-	// deafAfter is how long a member may be silent before it is told so, and
+	// unheardAfter is how long a member may be silent before it is told so, and
 	// how long it may say the same.
-	deafAfter = 750 * time.Millisecond
+	unheardAfter = 750 * time.Millisecond
 	// aloneAfter is how long all of several other members may be silent.
 	aloneAfter = 3 * suspectAfter
 	// pauseLimit is how long this process may stand still unnoticed.
@@ -91,19 +91,19 @@
 	state  *viewer.State
 	policy *policer.Policy
 	// tail holds the newest records for peers that are behind.
-	tail   []coder.Entry
-	ledger ledger
-	circle circle
+	tail       []coder.Entry
+	log        logState
+	membership membership
 	// entry holds the calls that this instance's clients wait for.
 	entry entry
 
-	table   *keeper.Table
-	replica replica
-	fences  fences
-	tasks   *queuer.Queue
-	placer  *placer.Placer
-	starts  []Start
-	desk    desk
+	table    *keeper.Table
+	replica  replica
+	fences   fences
+	tasks    *queuer.Queue
+	placer   *placer.Placer
+	starts   []Start
+	requests requests
 
 	draining bool
 	left     bool
@@ -124,7 +124,7 @@
 		entry:  newEntry(),
 	}
 	n.reset()
-	n.circle.born = now
+	n.membership.born = now
 	return n
 }
 
@@ -136,10 +136,10 @@
 	n.tasks = queuer.New()
 	n.placer = placer.New(n.rng)
 	n.starts = nil
-	n.desk = newDesk(n.self.Incarnation, n.rng)
-	wait := n.circle.joinWait
-	n.circle = newCircle(n.now)
-	n.circle.joinWait = wait
+	n.requests = newRequests(n.self.Incarnation, n.rng)
+	wait := n.membership.joinWait
+	n.membership = newMembership(n.now)
+	n.membership.joinWait = wait
 	n.applyWeights()
 }
 
@@ -151,13 +151,13 @@
 	for _, e := range events {
 		n.take(e)
 	}
-	n.runCircle()
+	n.runMembership()
 	n.runFences()
 	n.runScan()
 	n.runEntry()
 	n.runParked()
 	n.runTasks()
-	n.runDesk()
+	n.runRequests()
 	n.runClaims()
 	n.runDenials()
 	n.runReplica()
@@ -207,7 +207,7 @@
 }
 
 func (n *Node) received(from namer.Incarnation, m *coder.Message) {
-	if _, present := n.state.Member(from); !present && n.circle.gone[from] {
+	if _, present := n.state.Member(from); !present && n.membership.gone[from] {
 		n.decide(eventer.MessageBad, "", 0, string(from), "incarnation is gone")
 		return
 	}
@@ -269,4 +269,4 @@
 
 // Minions lists the minions as this instance sees them. They must not be
 // changed.
-func (n *Node) Minions() []*router.Minion { return n.desk.router.All() }
+func (n *Node) Minions() []*router.Minion { return n.requests.router.All() }
--- a/internal/core/dispatcher/owner.go
+++ b/internal/core/dispatcher/owner.go
@@ -39,7 +39,7 @@
 }
 
 func (n *Node) forwarded(from namer.Incarnation, f *coder.Forward) {
-	n.circle.peer(from, n.now).heard = n.now
+	n.membership.peer(from, n.now).heard = n.now
 	work := f.Work
 	n.consider(&ask{
 		op: f.Op, work: &work, wait: f.Wait, since: n.now,
@@ -274,8 +274,8 @@
 	c := queuer.Class{Team: r.Work.Submission.Team, Kind: r.Work.Kind}
 	queue := n.tasks
 	if r.IsRequest() {
-		queue = n.desk.queue
-		n.desk.wanted[r.ID] = &wanted{work: r.Work, record: true}
+		queue = n.requests.queue
+		n.requests.open[r.ID] = &request{work: r.Work, record: true}
 	}
 	for i := range r.Tasks {
 		if r.Tasks[i].State == keeper.Queued {
@@ -299,7 +299,7 @@
 	r.Final = &a
 	r.Until = n.now.Add(n.policy.Remember)
 	n.stopRest(r)
-	n.dropWanted(r)
+	n.dropRequest(r)
 	n.decide(eventer.Finished, r.ID, 0, string(a.Status), string(a.Code))
 	n.markDirty(r)
 }
@@ -326,7 +326,7 @@
 	for _, r := range late {
 		n.deadline(r)
 	}
-	n.scanDesk()
+	n.scanRequests()
 }
 
 // deadline ends a submission that is late. Where the end cannot be confirmed
@@ -359,25 +359,25 @@
 // runLeave retires, and leaves the view once all that this instance runs is
 // finished and held by another member.
 func (n *Node) runLeave() {
-	if !n.draining || !n.logUp() || n.now.Sub(n.circle.joinAsked) < appendAgain {
+	if !n.draining || !n.logUp() || n.now.Sub(n.membership.joinAsked) < appendAgain {
 		return
 	}
 	if !n.state.Retired(n.self.Incarnation) {
-		n.circle.joinAsked = n.now
+		n.membership.joinAsked = n.now
 		n.do(Append{coder.Record{Retire: &coder.Retire{Incarnation: n.self.Incarnation}}})
 		return
 	}
 	if n.busy() || !n.handedOver() {
 		return
 	}
-	n.circle.joinAsked = n.now
+	n.membership.joinAsked = n.now
 	n.do(Append{coder.Record{Leave: &coder.Leave{Incarnation: n.self.Incarnation, At: n.now}}})
 }
 
 // busy reports whether something that this instance runs, or a call of its
 // own clients, is not finished.
 func (n *Node) busy() bool {
-	busy := len(n.entry.calls) > 0 || n.desk.busy()
+	busy := len(n.entry.calls) > 0 || n.requests.busy()
 	n.table.EachLive(func(r *keeper.Record) {
 		busy = busy || r.Runner == n.self.Incarnation
 	})
--- a/internal/core/dispatcher/replica.go
+++ b/internal/core/dispatcher/replica.go
@@ -87,7 +87,7 @@
 	}
 	n.addDenials(b)
 	for _, to := range b.order {
-		n.fly(to, b.byPeer[to])
+		n.sendBatch(to, b.byPeer[to])
 	}
 }
 
@@ -150,14 +150,14 @@
 	b.add(u, p)
 }
 
-// fly sends a batch, in messages of at most maxUpdates.
-func (n *Node) fly(to namer.Incarnation, b *batch) {
+// sendBatch sends a batch, in messages of at most maxUpdates.
+func (n *Node) sendBatch(to namer.Incarnation, b *batch) {
 	for len(b.updates) > 0 {
 		size := min(maxUpdates, len(b.updates))
 		n.replica.seq++
 		n.replica.flights[n.replica.seq] = &flight{to: to, sentAt: n.now, parts: b.parts[:size]}
 		n.send(to, &coder.Message{Replicate: &coder.Replicate{
-			Seq: n.replica.seq, View: n.circle.view, Updates: b.updates[:size],
+			Seq: n.replica.seq, View: n.membership.view, Updates: b.updates[:size],
 		}})
 		b.updates, b.parts = b.updates[size:], b.parts[size:]
 	}
@@ -181,9 +181,9 @@
 
 // replicate takes updates from a runner, all of them or none.
 func (n *Node) replicate(from namer.Incarnation, m *coder.Replicate) {
-	n.circle.peer(from, n.now).heard = n.now
+	n.membership.peer(from, n.now).heard = n.now
 	_, present := n.state.Member(from)
-	ok := present && n.mayOwn() && m.View == n.circle.view
+	ok := present && n.mayOwn() && m.View == n.membership.view
 	for i := 0; ok && i < len(m.Updates); i++ {
 		ok = n.acceptable(from, &m.Updates[i])
 	}
@@ -194,7 +194,7 @@
 	} else {
 		n.decide(eventer.Nacked, "", 0, string(from), "another view")
 	}
-	n.send(from, &coder.Message{Ack: &coder.Ack{Seq: m.Seq, OK: ok, View: n.circle.view}})
+	n.send(from, &coder.Message{Ack: &coder.Ack{Seq: m.Seq, OK: ok, View: n.membership.view}})
 }
 
 // acceptable reports whether an update contradicts nothing that this instance
@@ -245,7 +245,7 @@
 
 // acked acts on what a backup has acknowledged, or asks it again later.
 func (n *Node) acked(from namer.Incarnation, a *coder.Ack) {
-	n.circle.peer(from, n.now).heard = n.now
+	n.membership.peer(from, n.now).heard = n.now
 	f, found := n.replica.flights[a.Seq]
 	if !found || f.to != from {
 		return
--- a/internal/core/dispatcher/desk.go
+++ b/internal/core/dispatcher/request.go
@@ -27,23 +27,23 @@
 	maxRefused = 16
 )
 
-// desk serves requests: it queues them, sends them to minions, and retries
+// requests serves requests: it queues them, sends them to minions, and retries
 // those that have not run or may run again.
-type desk struct {
+type requests struct {
 	router *router.Router
 	queue  *queuer.Queue
-	// wanted holds what is queued or sent.
-	wanted map[namer.ID]*wanted
+	// open holds what is queued or sent.
+	open map[namer.ID]*request
 	// sends holds the requests whose answer has not come.
-	sends    map[SendID]*sent
+	sends    map[SendID]*send
 	next     SendID
 	services []namer.Service
 	// budget is how many retries are allowed now.
 	budget float64
 }
 
-// wanted is a request that has no terminal answer yet.
-type wanted struct {
+// request is a request that has no terminal answer yet.
+type request struct {
 	work *coder.Work
 	// record is set for an unrepeatable request, which the table holds; call
 	// is who asked for a repeatable one.
@@ -59,26 +59,26 @@
 	last namer.Minion
 }
 
-type sent struct {
+type send struct {
 	id     namer.ID
 	minion namer.Minion
 	since  time.Time
 }
 
-func newDesk(self namer.Incarnation, rng *rand.Rand) desk {
-	return desk{
+func newRequests(self namer.Incarnation, rng *rand.Rand) requests {
+	return requests{
 		router: router.New(self, rng),
 		queue:  queuer.New(),
-		wanted: make(map[namer.ID]*wanted),
-		sends:  make(map[SendID]*sent),
+		open:   make(map[namer.ID]*request),
+		sends:  make(map[SendID]*send),
 		budget: maxRetryBudget,
 	}
 }
 
-func (d *desk) busy() bool { return len(d.wanted) > 0 || len(d.sends) > 0 }
+func (d *requests) busy() bool { return len(d.open) > 0 || len(d.sends) > 0 }
 
 // idle lists the slots that could be lent to peers.
-func (d *desk) idle() []coder.IdleSlots {
+func (d *requests) idle() []coder.IdleSlots {
 	if d.queue.Len() > 0 {
 		return nil
 	}
@@ -91,9 +91,9 @@
 	return out
 }
 
-// askDesk takes a repeatable request from a client. Nothing has to be agreed
+// askRequest takes a repeatable request from a client. Nothing has to be agreed
 // for it: it may run again, so any instance serves it at once.
-func (n *Node) askDesk(e Asked) {
+func (n *Node) askRequest(e Asked) {
 	work := e.Work
 	if refusal := n.admitRequest(&work); refusal != nil {
 		n.decide(eventer.RefusedWork, work.Submission.ID(), 0, string(work.Kind), string(refusal.Code)+" ran=no")
@@ -102,41 +102,41 @@
 	}
 	n.entry.calls[e.Call] = &call{id: e.Call, op: e.Op, work: work, wait: true, since: n.now, target: n.self.Incarnation}
 	id := namer.ID(fmt.Sprintf("call-%d", e.Call))
-	n.desk.wanted[id] = &wanted{work: &work, call: e.Call}
+	n.requests.open[id] = &request{work: &work, call: e.Call}
 	c := queuer.Class{Team: work.Submission.Team, Kind: work.Kind}
-	n.desk.queue.Push(c, queuer.Item{ID: id, Cost: n.cost(n.desk.queue, c, &work.Tasks[0])})
+	n.requests.queue.Push(c, queuer.Item{ID: id, Cost: n.cost(n.requests.queue, c, &work.Tasks[0])})
 }
 
 func (n *Node) admitRequest(w *coder.Work) *coder.Answer {
-	slots := n.desk.router.Slots(w.Service)
+	slots := n.requests.router.Slots(w.Service)
 	if slots == 0 {
 		return &coder.Answer{
 			Status: coder.Refused, Code: coder.CodeNoMinion, Ran: coder.RanNo,
 			Detail: "no minion serves " + string(w.Service) + " here", RetryMillis: soonMillis,
 		}
 	}
-	return n.tooLate(n.desk.queue, w, float64(slots))
+	return n.tooLate(n.requests.queue, w, float64(slots))
 }
 
-// runDesk sends waiting requests to minions in fair order.
-func (n *Node) runDesk() {
-	if n.desk.queue.Len() == 0 {
+// runRequests sends waiting requests to minions in fair order.
+func (n *Node) runRequests() {
+	if n.requests.queue.Len() == 0 {
 		return
 	}
 	n.lend()
-	n.desk.queue.Drain(routeBudget, n.routeRequest)
+	n.requests.queue.Drain(routeBudget, n.routeRequest)
 }
 
 // lend adds up the slots that peers of the domain leave unused, and takes an
 // equal part of them.
 func (n *Node) lend() {
 	others := n.others()
-	for _, s := range n.desk.services {
+	for _, s := range n.requests.services {
 		idle := 0
 		for _, inc := range others {
-			idle += n.circle.peer(inc, n.now).idleSlots(s)
+			idle += n.membership.peer(inc, n.now).idleSlots(s)
 		}
-		n.desk.router.Lend(s, idle/(2*max(1, len(others))))
+		n.requests.router.Lend(s, idle/(2*max(1, len(others))))
 	}
 }
 
@@ -151,23 +151,23 @@
 
 // routeRequest returns false where there is no slot for the request now.
 func (n *Node) routeRequest(c queuer.Class, it queuer.Item) bool {
-	w := n.desk.wanted[it.ID]
+	w := n.requests.open[it.ID]
 	if w == nil {
 		return true
 	}
 	if _, waiting := n.entry.calls[w.call]; !w.record && !waiting {
-		delete(n.desk.wanted, it.ID)
+		delete(n.requests.open, it.ID)
 		return true
 	}
 	if w.record && !n.mayRun(it.ID) {
 		return false
 	}
-	m := n.desk.router.Pick(n.now, w.work.Service, w.last)
+	m := n.requests.router.Pick(n.now, w.work.Service, w.last)
 	if m == nil {
 		return false
 	}
 	if w.sends == 0 {
-		n.desk.budget = min(maxRetryBudget, n.desk.budget+retryPart)
+		n.requests.budget = min(maxRetryBudget, n.requests.budget+retryPart)
 	}
 	w.sends++
 	w.flying = true
@@ -175,24 +175,24 @@
 	if w.record {
 		n.table.Get(it.ID).Tasks[0].State = keeper.Starting
 	}
-	n.desk.next++
-	n.desk.sends[n.desk.next] = &sent{id: it.ID, minion: m.Name, since: n.now}
+	n.requests.next++
+	n.requests.sends[n.requests.next] = &send{id: it.ID, minion: m.Name, since: n.now}
 	n.decide(eventer.Routed, it.ID, 0, string(m.Name), string(c.Kind))
-	n.do(SendRequest{Send: n.desk.next, Minion: m.Name, ID: it.ID, Work: w.work})
+	n.do(SendRequest{Send: n.requests.next, Minion: m.Name, ID: it.ID, Work: w.work})
 	return true
 }
 
-// scanDesk ends the repeatable requests that are past their deadline.
-func (n *Node) scanDesk() {
+// scanRequests ends the repeatable requests that are past their deadline.
+func (n *Node) scanRequests() {
 	var late []namer.ID
-	for id, w := range n.desk.wanted {
+	for id, w := range n.requests.open {
 		if !w.record && n.now.After(w.work.Deadline) {
 			late = append(late, id)
 		}
 	}
 	sort.Slice(late, func(i, j int) bool { return late[i] < late[j] })
 	for _, id := range late {
-		w := n.desk.wanted[id]
+		w := n.requests.open[id]
 		a := coder.Answer{
 			Status: coder.Refused, Code: coder.CodeDeadline, Ran: coder.RanNo,
 			Detail: "the deadline passed while the request waited", RetryMillis: soonMillis,
@@ -211,22 +211,22 @@
 }
 
 func (n *Node) sendAnswered(e SendAnswered) {
-	s, found := n.desk.sends[e.Send]
+	s, found := n.requests.sends[e.Send]
 	if !found {
 		return
 	}
-	delete(n.desk.sends, e.Send)
+	delete(n.requests.sends, e.Send)
 	if e.Leaving {
 		n.decide(eventer.MinionLeaving, s.id, 0, string(s.minion), "closes its connections")
 	}
 	if e.Leaving || e.Verdict == SendRefused {
-		n.desk.router.Refused(n.now, s.minion, e.Leaving)
+		n.requests.router.Refused(n.now, s.minion, e.Leaving)
 	}
-	n.desk.router.Done(s.minion)
-	if e.Verdict != SendRefused && n.desk.router.Judge(n.now, s.minion, e.Verdict == SendOK) {
+	n.requests.router.Done(s.minion)
+	if e.Verdict != SendRefused && n.requests.router.Judge(n.now, s.minion, e.Verdict == SendOK) {
 		n.decide(eventer.MinionAside, s.id, 0, string(s.minion), "fails what it is sent")
 	}
-	w := n.desk.wanted[s.id]
+	w := n.requests.open[s.id]
 	if w == nil {
 		return
 	}
@@ -234,7 +234,7 @@
 	n.sendVerdict(e, s, w)
 }
 
-func (n *Node) sendVerdict(e SendAnswered, s *sent, w *wanted) {
+func (n *Node) sendVerdict(e SendAnswered, s *send, w *request) {
 	switch e.Verdict {
 	case SendOK, SendError:
 		n.learnRequest(w, n.now.Sub(s.since))
@@ -248,11 +248,11 @@
 	}
 }
 
-func (n *Node) learnRequest(w *wanted, took time.Duration) {
-	n.desk.queue.Learn(queuer.Class{Team: w.work.Submission.Team, Kind: w.work.Kind}, took)
+func (n *Node) learnRequest(w *request, took time.Duration) {
+	n.requests.queue.Learn(queuer.Class{Team: w.work.Submission.Team, Kind: w.work.Kind}, took)
 }
 
-func (n *Node) requestRan(id namer.ID, w *wanted, e SendAnswered) {
+func (n *Node) requestRan(id namer.ID, w *request, e SendAnswered) {
 	ok := e.Verdict == SendOK
 	if w.record {
 		n.recordRan(id, ok, e.Output)
@@ -283,7 +283,7 @@
 }
 
 // requestRefused sends a request again that has not run, or gives it up.
-func (n *Node) requestRefused(id namer.ID, w *wanted) {
+func (n *Node) requestRefused(id namer.ID, w *request) {
 	if w.record {
 		if r := n.table.Get(id); r != nil && r.Final == nil {
 			r.Tasks[0].State = keeper.Queued
@@ -305,11 +305,11 @@
 
 // requestLost sends a repeatable request again while the budget of retries
 // lasts. An unrepeatable one is never sent again.
-func (n *Node) requestLost(id namer.ID, w *wanted) {
+func (n *Node) requestLost(id namer.ID, w *request) {
 	w.doubt = true
 	w.lost++
-	if !w.record && w.lost < maxLost && n.desk.budget >= 1 {
-		n.desk.budget--
+	if !w.record && w.lost < maxLost && n.requests.budget >= 1 {
+		n.requests.budget--
 		n.requeue(id, w)
 		return
 	}
@@ -319,14 +319,14 @@
 	})
 }
 
-func (n *Node) requeue(id namer.ID, w *wanted) {
+func (n *Node) requeue(id namer.ID, w *request) {
 	c := queuer.Class{Team: w.work.Submission.Team, Kind: w.work.Kind}
-	n.desk.queue.PushFront(c, queuer.Item{ID: id, Cost: n.cost(n.desk.queue, c, &w.work.Tasks[0])})
+	n.requests.queue.PushFront(c, queuer.Item{ID: id, Cost: n.cost(n.requests.queue, c, &w.work.Tasks[0])})
 }
 
 // endRequest gives a request its final answer.
-func (n *Node) endRequest(id namer.ID, w *wanted, a coder.Answer) {
-	delete(n.desk.wanted, id)
+func (n *Node) endRequest(id namer.ID, w *request, a coder.Answer) {
+	delete(n.requests.open, id)
 	if !w.record {
 		n.reply(w.call, a)
 		return
@@ -336,10 +336,10 @@
 	}
 }
 
-// dropWanted takes a finished submission off the desk.
-func (n *Node) dropWanted(r *keeper.Record) {
+// dropRequest takes a finished submission off the list.
+func (n *Node) dropRequest(r *keeper.Record) {
 	if r.IsRequest() {
-		delete(n.desk.wanted, r.ID)
+		delete(n.requests.open, r.ID)
 	}
 }
 
@@ -353,14 +353,14 @@
 		}
 		present[l.Name] = true
 		services[l.Service] = true
-		n.desk.router.Update(router.Minion{
+		n.requests.router.Update(router.Minion{
 			Name: l.Name, Service: l.Service, Domain: l.Domain, Slots: l.Slots, Leaving: l.Leaving,
 		})
 	}
-	n.desk.router.Retain(func(m namer.Minion) bool { return present[m] })
-	n.desk.services = n.desk.services[:0]
+	n.requests.router.Retain(func(m namer.Minion) bool { return present[m] })
+	n.requests.services = n.requests.services[:0]
 	for s := range services {
-		n.desk.services = append(n.desk.services, s)
+		n.requests.services = append(n.requests.services, s)
 	}
-	sort.Slice(n.desk.services, func(i, j int) bool { return n.desk.services[i] < n.desk.services[j] })
+	sort.Slice(n.requests.services, func(i, j int) bool { return n.requests.services[i] < n.requests.services[j] })
 }
--- a/internal/core/dispatcher/sim_test.go
+++ b/internal/core/dispatcher/sim_test.go
@@ -15,6 +15,7 @@
 	"github.com/heatherslip/heatherslip/internal/core/placer"
 	"github.com/heatherslip/heatherslip/internal/standin/emulator"
 	"github.com/heatherslip/heatherslip/internal/wire/coder"
+	"github.com/heatherslip/heatherslip/internal/wire/describer"
 	"github.com/heatherslip/heatherslip/internal/wire/namer"
 )
 
@@ -133,7 +134,7 @@
 		starts: make(map[namer.Task]int), runs: make(map[namer.ID]int),
 	}
 	for i := range 4 {
-		s.workers = append(s.workers, emulator.NewWorker(fmt.Sprintf("w%d", i), string(simDomain), "r", emulator.Room{Cores: 8000, Memory: 8000}))
+		s.workers = append(s.workers, emulator.NewWorker(fmt.Sprintf("w%d", i), string(simDomain), "r", describer.Room{Cores: 8000, Memory: 8000}))
 	}
 	s.publish()
 	for range nodes {
@@ -540,14 +541,14 @@
 	})
 }
 
-func task(k emulator.TaskKey) namer.Task {
+func task(k describer.TaskKey) namer.Task {
 	return namer.Task{ID: namer.ID(k.ID), Index: k.Index}
 }
 
-func keys(tasks []namer.Task) []emulator.TaskKey {
-	out := make([]emulator.TaskKey, len(tasks))
+func keys(tasks []namer.Task) []describer.TaskKey {
+	out := make([]describer.TaskKey, len(tasks))
 	for i, t := range tasks {
-		out[i] = emulator.TaskKey{ID: string(t.ID), Index: t.Index}
+		out[i] = describer.TaskKey{ID: string(t.ID), Index: t.Index}
 	}
 	return out
 }
@@ -555,12 +556,12 @@
 func (s *sim) startTasks(n *simNode, core *Node, a Start) {
 	w := s.worker(a.Worker)
 	lost := StartLost{Worker: a.Worker, Lease: a.Lease}
-	body := make([]emulator.StartOne, len(a.Tasks))
+	body := make([]describer.StartOne, len(a.Tasks))
 	for i, st := range a.Tasks {
 		lost.Tasks = append(lost.Tasks, st.Task)
-		body[i] = emulator.StartOne{
-			TaskKey: emulator.TaskKey{ID: string(st.Task.ID), Index: st.Task.Index},
-			Room:    emulator.Room{Cores: int(st.Spec.Cores), Memory: int(st.Spec.Memory)}, Payload: st.Spec.Payload,
+		body[i] = describer.StartOne{
+			TaskKey: describer.TaskKey{ID: string(st.Task.ID), Index: st.Task.Index},
+			Room:    describer.Room{Cores: int(st.Spec.Cores), Memory: int(st.Spec.Memory)}, Payload: st.Spec.Payload,
 		}
 	}
 	if w.Faults.Dead {
@@ -572,12 +573,12 @@
 	for i, v := range w.Start(s.now, string(a.Lease), body) {
 		verdict := StartVoid
 		switch v {
-		case emulator.VerdictTaken:
+		case describer.VerdictTaken:
 			verdict = StartTaken
 			s.starts[a.Tasks[i].Task]++
-		case emulator.VerdictFull:
+		case describer.VerdictFull:
 			verdict = StartFull
-		case emulator.VerdictVoid:
+		case describer.VerdictVoid:
 		}
 		e.Results = append(e.Results, StartResult{Task: a.Tasks[i].Task, Verdict: verdict})
 	}
--- a/internal/edge/caller/caller.go
+++ b/internal/edge/caller/caller.go
@@ -12,7 +12,7 @@
 
 	"github.com/dghubble/sling"
 
-	"github.com/heatherslip/heatherslip/internal/standin/emulator"
+	"github.com/heatherslip/heatherslip/internal/wire/describer"
 )
 
 const (
@@ -79,8 +79,8 @@
 func (c *Caller) Append(ctx context.Context, records [][]byte) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	s := sling.New().Base(c.platform).Post("/v1/log").BodyJSON(emulator.AppendBody{Records: records})
-	_, err := c.call(ctx, s, &emulator.AppendAnswer{})
+	s := sling.New().Base(c.platform).Post("/v1/log").BodyJSON(describer.AppendBody{Records: records})
+	_, err := c.call(ctx, s, &describer.AppendAnswer{})
 	return err
 }
 
@@ -92,10 +92,10 @@
 
 // Read returns the records from an offset on, and waits up to wait for the
 // first.
-func (c *Caller) Read(ctx context.Context, from uint64, wait time.Duration) ([]emulator.LogEntry, error) {
+func (c *Caller) Read(ctx context.Context, from uint64, wait time.Duration) ([]describer.LogEntry, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	var out emulator.ReadBody
+	var out describer.ReadBody
 	s := sling.New().Base(c.platform).Get("/v1/log").QueryStruct(readQuery{From: from, Wait: int(wait / time.Millisecond)})
 	if _, err := c.call(ctx, s, &out); err != nil {
 		return nil, err
@@ -104,10 +104,10 @@
 }
 
 // List returns the platform's list.
-func (c *Caller) List(ctx context.Context) (*emulator.List, error) {
+func (c *Caller) List(ctx context.Context) (*describer.List, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	var out emulator.List
+	var out describer.List
 	if _, err := c.call(ctx, sling.New().Base(c.platform).Get("/v1/list"), &out); err != nil {
 		return nil, err
 	}
@@ -115,17 +115,17 @@
 }
 
 // Lease asks a worker for a lease.
-func (c *Caller) Lease(ctx context.Context, addr, holder string) (*emulator.LeaseAnswer, error) {
-	var out emulator.LeaseAnswer
-	if err := c.post(ctx, addr, "/v1/lease", emulator.LeaseBody{Holder: holder}, &out); err != nil {
+func (c *Caller) Lease(ctx context.Context, addr, holder string) (*describer.LeaseAnswer, error) {
+	var out describer.LeaseAnswer
+	if err := c.post(ctx, addr, "/v1/lease", describer.LeaseBody{Holder: holder}, &out); err != nil {
 		return nil, err
 	}
 	return &out, nil
 }
 
 // Start sends tasks to a worker. An error leaves open whether they started.
-func (c *Caller) Start(ctx context.Context, addr string, body emulator.StartBody) (*emulator.StartAnswer, error) {
-	var out emulator.StartAnswer
+func (c *Caller) Start(ctx context.Context, addr string, body describer.StartBody) (*describer.StartAnswer, error) {
+	var out describer.StartAnswer
 	if err := c.post(ctx, addr, "/v1/start", body, &out); err != nil {
 		return nil, err
 	}
@@ -133,9 +133,9 @@
 }
 
 // Ends polls for the ends of a lease's tasks, and so renews the lease.
-func (c *Caller) Ends(ctx context.Context, addr, lease string, after int) (*emulator.EndsAnswer, error) {
-	var out emulator.EndsAnswer
-	body := emulator.EndsBody{Lease: lease, After: after, WaitMillis: int(endsWait / time.Millisecond)}
+func (c *Caller) Ends(ctx context.Context, addr, lease string, after int) (*describer.EndsAnswer, error) {
+	var out describer.EndsAnswer
+	body := describer.EndsBody{Lease: lease, After: after, WaitMillis: int(endsWait / time.Millisecond)}
 	if err := c.post(ctx, addr, "/v1/ends", body, &out); err != nil {
 		return nil, err
 	}
@@ -143,8 +143,8 @@
 }
 
 // Fence ends leases and asks what a worker knows of tasks.
-func (c *Caller) Fence(ctx context.Context, addr string, body emulator.FenceBody) (*emulator.FenceAnswer, error) {
-	var out emulator.FenceAnswer
+func (c *Caller) Fence(ctx context.Context, addr string, body describer.FenceBody) (*describer.FenceAnswer, error) {
+	var out describer.FenceAnswer
 	if err := c.post(ctx, addr, "/v1/fence", body, &out); err != nil {
 		return nil, err
 	}
@@ -152,18 +152,18 @@
 }
 
 // Adopt moves running tasks under a lease.
-func (c *Caller) Adopt(ctx context.Context, addr string, body emulator.TasksBody) error {
-	return c.post(ctx, addr, "/v1/adopt", body, &emulator.EndsAnswer{})
+func (c *Caller) Adopt(ctx context.Context, addr string, body describer.TasksBody) error {
+	return c.post(ctx, addr, "/v1/adopt", body, &describer.EndsAnswer{})
 }
 
 // Stop stops running tasks.
-func (c *Caller) Stop(ctx context.Context, addr string, body emulator.TasksBody) error {
+func (c *Caller) Stop(ctx context.Context, addr string, body describer.TasksBody) error {
 	return c.post(ctx, addr, "/v1/stop", body, &struct{}{})
 }
 
 // Sent is what became of a request to a minion.
 type Sent struct {
-	emulator.RequestAnswer
+	describer.RequestAnswer
 	// Lost is set where nobody can tell whether the request has run.
 	Lost bool
 	// Leaving is set where the minion closes its connections.
@@ -171,8 +171,8 @@
 }
 
 // Request sends a request to a minion, once, and waits until the deadline.
-func (c *Caller) Request(ctx context.Context, addr string, body emulator.RequestBody) Sent {
-	var out, refused emulator.RequestAnswer
+func (c *Caller) Request(ctx context.Context, addr string, body describer.RequestBody) Sent {
+	var out, refused describer.RequestAnswer
 	s := sling.New().Client(c.client).Base("http://" + addr).Post("/").BodyJSON(body)
 	req, err := s.Request()
 	if err != nil {
@@ -183,7 +183,7 @@
 	req.GetBody = nil
 	resp, err := s.Do(req.WithContext(ctx), &out, &refused)
 	if err != nil {
-		return Sent{Lost: !neverSent(err), RequestAnswer: emulator.RequestAnswer{Refused: neverSent(err)}}
+		return Sent{Lost: !neverSent(err), RequestAnswer: describer.RequestAnswer{Refused: neverSent(err)}}
 	}
 	leaving := resp.Close
 	if resp.StatusCode == http.StatusServiceUnavailable && refused.Refused {
--- a/internal/edge/runner/perform.go
+++ b/internal/edge/runner/perform.go
@@ -6,8 +6,8 @@
 
 	"github.com/heatherslip/heatherslip/internal/core/dispatcher"
 	"github.com/heatherslip/heatherslip/internal/core/placer"
-	"github.com/heatherslip/heatherslip/internal/standin/emulator"
 	"github.com/heatherslip/heatherslip/internal/wire/coder"
+	"github.com/heatherslip/heatherslip/internal/wire/describer"
 	"github.com/heatherslip/heatherslip/internal/wire/namer"
 )
 
@@ -120,7 +120,7 @@
 	}
 }
 
-func endsOf(in []emulator.End) []dispatcher.TaskEnd {
+func endsOf(in []describer.End) []dispatcher.TaskEnd {
 	out := make([]dispatcher.TaskEnd, len(in))
 	for i, e := range in {
 		out[i] = dispatcher.TaskEnd{
@@ -131,23 +131,23 @@
 	return out
 }
 
-func taskOf(k emulator.TaskKey) namer.Task {
+func taskOf(k describer.TaskKey) namer.Task {
 	return namer.Task{ID: namer.ID(k.ID), Index: k.Index}
 }
 
-func keyOf(t namer.Task) emulator.TaskKey {
-	return emulator.TaskKey{ID: string(t.ID), Index: t.Index}
+func keyOf(t namer.Task) describer.TaskKey {
+	return describer.TaskKey{ID: string(t.ID), Index: t.Index}
 }
 
-func keysOf(tasks []namer.Task) []emulator.TaskKey {
-	out := make([]emulator.TaskKey, len(tasks))
+func keysOf(tasks []namer.Task) []describer.TaskKey {
+	out := make([]describer.TaskKey, len(tasks))
 	for i, t := range tasks {
 		out[i] = keyOf(t)
 	}
 	return out
 }
 
-func sizeOf(f emulator.Room) placer.Size {
+func sizeOf(f describer.Room) placer.Size {
 	return placer.Size{
 		Cores:        namer.MilliCores(f.Cores),
 		Memory:       namer.Megabytes(f.Memory),
@@ -155,15 +155,15 @@
 	}
 }
 
-func roomOf(t *coder.TaskSpec) emulator.Room {
-	return emulator.Room{Cores: int(t.Cores), Memory: int(t.Memory), Accelerators: int(t.Accelerators)}
+func roomOf(t *coder.TaskSpec) describer.Room {
+	return describer.Room{Cores: int(t.Cores), Memory: int(t.Memory), Accelerators: int(t.Accelerators)}
 }
 
 func (r *Runner) startTasks(a dispatcher.Start) {
-	body := emulator.StartBody{Lease: string(a.Lease), Tasks: make([]emulator.StartOne, len(a.Tasks))}
+	body := describer.StartBody{Lease: string(a.Lease), Tasks: make([]describer.StartOne, len(a.Tasks))}
 	for i := range a.Tasks {
 		t := &a.Tasks[i]
-		body.Tasks[i] = emulator.StartOne{TaskKey: keyOf(t.Task), Room: roomOf(&t.Spec), Payload: t.Spec.Payload}
+		body.Tasks[i] = describer.StartOne{TaskKey: keyOf(t.Task), Room: roomOf(&t.Spec), Payload: t.Spec.Payload}
 	}
 	r.meters.starts.Inc(int64(len(a.Tasks)))
 	answer, err := r.caller.Start(r.ctx, r.workerAddr(a.Worker), body)
@@ -182,11 +182,11 @@
 	r.push(e)
 }
 
-func verdictOf(v emulator.Verdict) dispatcher.StartVerdict {
+func verdictOf(v describer.Verdict) dispatcher.StartVerdict {
 	switch v {
-	case emulator.VerdictTaken:
+	case describer.VerdictTaken:
 		return dispatcher.StartTaken
-	case emulator.VerdictFull:
+	case describer.VerdictFull:
 		return dispatcher.StartFull
 	default:
 		return dispatcher.StartVoid
@@ -194,7 +194,7 @@
 }
 
 func (r *Runner) fence(a dispatcher.Fence) {
-	answer, err := r.caller.Fence(r.ctx, r.workerAddr(a.Worker), emulator.FenceBody{
+	answer, err := r.caller.Fence(r.ctx, r.workerAddr(a.Worker), describer.FenceBody{
 		Holder: string(a.Holder), Lease: string(a.Lease), Tasks: keysOf(a.Tasks),
 	})
 	if err != nil || len(answer.Tasks) != len(a.Tasks) {
@@ -213,7 +213,7 @@
 // adopt moves running tasks under a lease. Where that fails the lease is given
 // up, so that the tasks are asked about again.
 func (r *Runner) adopt(a dispatcher.Adopt) {
-	err := r.caller.Adopt(r.ctx, r.workerAddr(a.Worker), emulator.TasksBody{Lease: string(a.Lease), Tasks: keysOf(a.Tasks)})
+	err := r.caller.Adopt(r.ctx, r.workerAddr(a.Worker), describer.TasksBody{Lease: string(a.Lease), Tasks: keysOf(a.Tasks)})
 	if err != nil {
 		r.push(dispatcher.LeaseEnded{Worker: a.Worker, Lease: a.Lease})
 	}
@@ -221,7 +221,7 @@
 
 func (r *Runner) stop(a dispatcher.StopTasks) {
 	// A stop that fails wastes the rest of the tasks' run time, nothing else.
-	_ = r.caller.Stop(r.ctx, r.workerAddr(a.Worker), emulator.TasksBody{Tasks: keysOf(a.Tasks)})
+	_ = r.caller.Stop(r.ctx, r.workerAddr(a.Worker), describer.TasksBody{Tasks: keysOf(a.Tasks)})
 }
 
 // requestGrace is how long after its deadline a request's answer is waited for.
@@ -230,7 +230,7 @@
 func (r *Runner) request(a dispatcher.SendRequest) {
 	ctx, cancel := context.WithDeadline(r.ctx, a.Work.Deadline.Add(requestGrace))
 	defer cancel()
-	body := emulator.RequestBody{Payload: a.Work.Tasks[0].Payload}
+	body := describer.RequestBody{Payload: a.Work.Tasks[0].Payload}
 	if !a.Work.Repeatable {
 		body.ID = string(a.ID)
 	}
@@ -250,7 +250,7 @@
 }
 
 // takeList takes the platform's list.
-func (r *Runner) takeList(list *emulator.List) {
+func (r *Runner) takeList(list *describer.List) {
 	e := dispatcher.Listed{}
 	r.mu.Lock()
 	r.listed = r.listed[:0]
--- a/internal/standin/emulator/host.go
+++ b/internal/standin/emulator/host.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/heatherslip/heatherslip/internal/wire/describer"
 )
 
 // workerHost serves one worker over HTTP.
@@ -15,11 +17,11 @@
 	// changed is closed and replaced when a task starts or ends early.
 	changed chan struct{}
 	// started counts how often each task was started here.
-	started map[TaskKey]int
+	started map[describer.TaskKey]int
 }
 
 func newWorkerHost(w *Worker) *workerHost {
-	return &workerHost{worker: w, changed: make(chan struct{}), started: make(map[TaskKey]int)}
+	return &workerHost{worker: w, changed: make(chan struct{}), started: make(map[describer.TaskKey]int)}
 }
 
 func (h *workerHost) routes() http.Handler {
@@ -66,14 +68,14 @@
 	h.changed = make(chan struct{})
 }
 
-func (h *workerHost) listed() ListWorker {
+func (h *workerHost) listed() describer.ListWorker {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	w := h.worker
-	return ListWorker{Name: w.Name, Addr: h.addr, Domain: w.Domain, Rack: w.Rack, Total: w.Total, Leaving: w.Faults.Leaving}
+	return describer.ListWorker{Name: w.Name, Addr: h.addr, Domain: w.Domain, Rack: w.Rack, Total: w.Total, Leaving: w.Faults.Leaving}
 }
 
-func (h *workerHost) addTo(s *Stats, seen map[TaskKey]int) {
+func (h *workerHost) addTo(s *Stats, seen map[describer.TaskKey]int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	c := h.worker.Counts
@@ -89,20 +91,8 @@
 	}
 }
 
-// LeaseBody asks for a lease, and LeaseAnswer grants it.
-type LeaseBody struct {
-	Holder string `json:"holder"`
-}
-
-// LeaseAnswer is a lease with what the worker has free.
-type LeaseAnswer struct {
-	Lease     string `json:"lease"`
-	TTLMillis int    `json:"ttl_ms"`
-	Free      Room   `json:"free"`
-}
-
 func (h *workerHost) serveLease(rw http.ResponseWriter, r *http.Request) {
-	var body LeaseBody
+	var body describer.LeaseBody
 	if !readBody(rw, r, &body) {
 		return
 	}
@@ -110,30 +100,18 @@
 	id := h.worker.Open(time.Now(), body.Holder)
 	free := h.worker.Free()
 	h.mu.Unlock()
-	writeBody(rw, LeaseAnswer{Lease: id, TTLMillis: int(LeaseTTL / time.Millisecond), Free: free})
-}
-
-// StartBody starts tasks, and StartAnswer tells which were taken.
-type StartBody struct {
-	Lease string     `json:"lease"`
-	Tasks []StartOne `json:"tasks"`
-}
-
-// StartAnswer holds a verdict for each task of a StartBody.
-type StartAnswer struct {
-	Verdicts []Verdict `json:"verdicts"`
-	Free     Room      `json:"free"`
+	writeBody(rw, describer.LeaseAnswer{Lease: id, TTLMillis: int(LeaseTTL / time.Millisecond), Free: free})
 }
 
 func (h *workerHost) serveStart(rw http.ResponseWriter, r *http.Request) {
-	var body StartBody
+	var body describer.StartBody
 	if !readBody(rw, r, &body) {
 		return
 	}
 	h.mu.Lock()
 	verdicts := h.worker.Start(time.Now(), body.Lease, body.Tasks)
 	for i, v := range verdicts {
-		if v == VerdictTaken {
+		if v == describer.VerdictTaken {
 			h.started[body.Tasks[i].TaskKey]++
 		}
 	}
@@ -145,26 +123,11 @@
 		hangUp(rw)
 		return
 	}
-	writeBody(rw, StartAnswer{Verdicts: verdicts, Free: free})
-}
-
-// EndsBody asks how the tasks of a lease ended, from a count on, and renews
-// the lease.
-type EndsBody struct {
-	Lease      string `json:"lease"`
-	After      int    `json:"after"`
-	WaitMillis int    `json:"wait_ms"`
-}
-
-// EndsAnswer answers an EndsBody. Over is set where the lease is over.
-type EndsAnswer struct {
-	Over bool  `json:"over,omitempty"`
-	Ends []End `json:"ends"`
-	Free Room  `json:"free"`
+	writeBody(rw, describer.StartAnswer{Verdicts: verdicts, Free: free})
 }
 
 func (h *workerHost) serveEnds(rw http.ResponseWriter, r *http.Request) {
-	var body EndsBody
+	var body describer.EndsBody
 	if !readBody(rw, r, &body) {
 		return
 	}
@@ -191,29 +154,17 @@
 	}
 }
 
-func (h *workerHost) ends(body EndsBody) (EndsAnswer, chan struct{}, time.Time) {
+func (h *workerHost) ends(body describer.EndsBody) (describer.EndsAnswer, chan struct{}, time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.worker.Counts.EventCalls++
 	ends, lasts := h.worker.Ends(time.Now(), body.Lease, body.After)
 	next, _ := h.worker.NextEnd()
-	return EndsAnswer{Over: !lasts, Ends: ends, Free: h.worker.Free()}, h.changed, next
-}
-
-// FenceBody ends a lease, or all of a holder's, and asks about tasks.
-type FenceBody struct {
-	Holder string    `json:"holder,omitempty"`
-	Lease  string    `json:"lease,omitempty"`
-	Tasks  []TaskKey `json:"tasks"`
-}
-
-// FenceAnswer tells what the worker knows of the tasks.
-type FenceAnswer struct {
-	Tasks []Seen `json:"tasks"`
+	return describer.EndsAnswer{Over: !lasts, Ends: ends, Free: h.worker.Free()}, h.changed, next
 }
 
 func (h *workerHost) serveFence(rw http.ResponseWriter, r *http.Request) {
-	var body FenceBody
+	var body describer.FenceBody
 	if !readBody(rw, r, &body) {
 		return
 	}
@@ -221,17 +172,11 @@
 	seen := h.worker.Fence(time.Now(), body.Holder, body.Lease, body.Tasks)
 	h.wake()
 	h.mu.Unlock()
-	writeBody(rw, FenceAnswer{Tasks: seen})
-}
-
-// TasksBody names tasks to adopt under a lease, or to stop.
-type TasksBody struct {
-	Lease string    `json:"lease,omitempty"`
-	Tasks []TaskKey `json:"tasks"`
+	writeBody(rw, describer.FenceAnswer{Tasks: seen})
 }
 
 func (h *workerHost) serveAdopt(rw http.ResponseWriter, r *http.Request) {
-	var body TasksBody
+	var body describer.TasksBody
 	if !readBody(rw, r, &body) {
 		return
 	}
@@ -239,11 +184,11 @@
 	lasts := h.worker.Adopt(time.Now(), body.Lease, body.Tasks)
 	h.wake()
 	h.mu.Unlock()
-	writeBody(rw, EndsAnswer{Over: !lasts})
+	writeBody(rw, describer.EndsAnswer{Over: !lasts})
 }
 
 func (h *workerHost) serveStop(rw http.ResponseWriter, r *http.Request) {
-	var body TasksBody
+	var body describer.TasksBody
 	if !readBody(rw, r, &body) {
 		return
 	}
@@ -262,22 +207,9 @@
 	minion *Minion
 }
 
-// RequestBody is a request to a minion. Unrepeatable requests carry an id.
-type RequestBody struct {
-	ID      string `json:"id,omitempty"`
-	Payload string `json:"payload"`
-}
-
-// RequestAnswer is a minion's answer. Refused says that nothing was run.
-type RequestAnswer struct {
-	Refused bool   `json:"refused,omitempty"`
-	OK      bool   `json:"ok"`
-	Output  string `json:"output,omitempty"`
-}
-
 // ServeHTTP runs a request for as long as its payload says.
 func (h *minionHost) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
-	var body RequestBody
+	var body describer.RequestBody
 	if !readBody(rw, r, &body) {
 		return
 	}
@@ -296,7 +228,7 @@
 			rw.Header().Set("Connection", "close")
 		}
 		rw.WriteHeader(http.StatusServiceUnavailable)
-		writeBody(rw, RequestAnswer{Refused: true})
+		writeBody(rw, describer.RequestAnswer{Refused: true})
 		return
 	}
 	time.Sleep(run)
@@ -311,7 +243,7 @@
 	if faults.Leaving {
 		rw.Header().Set("Connection", "close")
 	}
-	writeBody(rw, RequestAnswer{OK: ok, Output: output})
+	writeBody(rw, describer.RequestAnswer{OK: ok, Output: output})
 }
 
 func (h *minionHost) setFaults(f MinionFaults) {
@@ -320,11 +252,11 @@
 	h.minion.Faults = f
 }
 
-func (h *minionHost) listed() ListMinion {
+func (h *minionHost) listed() describer.ListMinion {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	m := h.minion
-	return ListMinion{
+	return describer.ListMinion{
 		Name: m.Name, Addr: h.addr, Service: m.Service, Domain: m.Domain,
 		Slots: m.Slots, Connections: m.Connections, Leaving: m.Faults.Leaving,
 	}
--- a/internal/standin/emulator/log.go
+++ b/internal/standin/emulator/log.go
@@ -6,12 +6,14 @@
 import (
 	"errors"
 	"time"
+
+	"github.com/heatherslip/heatherslip/internal/wire/describer"
 )
 
 // Log is an append-only log with offsets from 1. Methods take the time, so
 // that tests run it without a clock. It is not safe for concurrent use.
 type Log struct {
-	entries  []LogEntry
+	entries  []describer.LogEntry
 	earliest uint64
 	next     uint64
 	// Faults are in force as set.
@@ -23,13 +25,6 @@
 	used   int
 }
 
-// LogEntry is one record of the log.
-type LogEntry struct {
-	Offset uint64    `json:"offset"`
-	Data   []byte    `json:"data"`
-	At     time.Time `json:"at"`
-}
-
 // LogFaults are what the log can be made to do.
 type LogFaults struct {
 	// Down refuses every call.
@@ -68,7 +63,7 @@
 	l.Appends++
 	first := l.next
 	for _, data := range batch {
-		l.entries = append(l.entries, LogEntry{Offset: l.next, Data: data, At: now})
+		l.entries = append(l.entries, describer.LogEntry{Offset: l.next, Data: data, At: now})
 		l.next++
 	}
 	if l.Faults.LoseAnswers {
@@ -92,7 +87,7 @@
 const maxRead = 1000
 
 // Read returns records from an offset on, or from the earliest that is kept.
-func (l *Log) Read(now time.Time, from uint64) ([]LogEntry, error) {
+func (l *Log) Read(now time.Time, from uint64) ([]describer.LogEntry, error) {
 	if l.Faults.Down {
 		return nil, errLogDown
 	}
@@ -107,7 +102,7 @@
 	if len(out) > maxRead {
 		out = out[:maxRead]
 	}
-	return append([]LogEntry(nil), out...), nil
+	return append([]describer.LogEntry(nil), out...), nil
 }
 
 func (l *Log) forget(now time.Time) {
--- a/internal/standin/emulator/platform.go
+++ b/internal/standin/emulator/platform.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/heatherslip/heatherslip/internal/wire/describer"
 )
 
 // Site says what a platform consists of.
@@ -18,7 +20,7 @@
 	Workers  int
 	Minions  int
 	PerRack  int
-	Room     Room
+	Room     describer.Room
 	Slots    int
 	Conns    int
 	LogDelay time.Duration
@@ -30,7 +32,7 @@
 func AkademiaSite() Site {
 	return Site{
 		Domains: []string{"warszawa-a", "warszawa-b", "radom"}, Service: "materialy-zajec",
-		Workers: 48, Minions: 48, PerRack: 8, Room: Room{Cores: 16000, Memory: 32768, Accelerators: 2},
+		Workers: 48, Minions: 48, PerRack: 8, Room: describer.Room{Cores: 16000, Memory: 32768, Accelerators: 2},
 		Slots: 8, Conns: 64, LogDelay: 5 * time.Millisecond, ListLag: 200 * time.Millisecond,
 	}
 }
@@ -45,41 +47,6 @@
 	return s
 }
 
-// List is what the platform tells about its instances.
-type List struct {
-	Instances []ListInstance `json:"instances"`
-	Workers   []ListWorker   `json:"workers"`
-	Minions   []ListMinion   `json:"minions"`
-}
-
-// ListInstance is an entry instance.
-type ListInstance struct {
-	Name    string `json:"name"`
-	Peer    string `json:"peer"`
-	Leaving bool   `json:"leaving"`
-}
-
-// ListWorker is a worker.
-type ListWorker struct {
-	Name    string `json:"name"`
-	Addr    string `json:"addr"`
-	Domain  string `json:"domain"`
-	Rack    string `json:"rack"`
-	Total   Room   `json:"total"`
-	Leaving bool   `json:"leaving"`
-}
-
-// ListMinion is a minion.
-type ListMinion struct {
-	Name        string `json:"name"`
-	Addr        string `json:"addr"`
-	Service     string `json:"service"`
-	Domain      string `json:"domain"`
-	Slots       int    `json:"slots"`
-	Connections int    `json:"connections"`
-	Leaving     bool   `json:"leaving"`
-}
-
 // Platform serves the log, the list, and each worker and minion on an address
 // of its own, over HTTP on the loopback interface.
 type Platform struct {
@@ -93,7 +60,7 @@
 	appended  chan struct{}
 	workers   []*workerHost
 	minions   []*minionHost
-	instances []ListInstance
+	instances []describer.ListInstance
 	listDown  bool
 	// listed are the lists shown so far, the newest last, for the lag.
 	listed []datedList
@@ -101,7 +68,7 @@
 
 type datedList struct {
 	at   time.Time
-	list List
+	list describer.List
 }
 
 // New starts a platform on addr, an IP number and a port.
@@ -201,23 +168,8 @@
 	return mux
 }
 
-// AppendBody is the body of an append, and ReadBody that of a read.
-type AppendBody struct {
-	Records [][]byte `json:"records"`
-}
-
-// AppendAnswer tells the offset of the first record of a batch.
-type AppendAnswer struct {
-	First uint64 `json:"first"`
-}
-
-// ReadBody is what a read of the log returns.
-type ReadBody struct {
-	Entries []LogEntry `json:"entries"`
-}
-
 func (p *Platform) serveAppend(rw http.ResponseWriter, r *http.Request) {
-	var body AppendBody
+	var body describer.AppendBody
 	if !readBody(rw, r, &body) {
 		return
 	}
@@ -236,7 +188,7 @@
 		http.Error(rw, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	writeBody(rw, AppendAnswer{First: first})
+	writeBody(rw, describer.AppendAnswer{First: first})
 }
 
 const maxReadWait = 5 * time.Second
@@ -258,7 +210,7 @@
 			return
 		}
 		if len(entries) > 0 || !waiting {
-			writeBody(rw, ReadBody{Entries: entries})
+			writeBody(rw, describer.ReadBody{Entries: entries})
 			return
 		}
 		select {
@@ -272,14 +224,14 @@
 }
 
 func (p *Platform) serveInstance(rw http.ResponseWriter, r *http.Request) {
-	var in ListInstance
+	var in describer.ListInstance
 	if readBody(rw, r, &in) {
 		p.Register(in)
 	}
 }
 
 // Register adds an entry instance to the list, or takes in that it is leaving.
-func (p *Platform) Register(in ListInstance) {
+func (p *Platform) Register(in describer.ListInstance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i := range p.instances {
@@ -308,8 +260,8 @@
 	writeBody(rw, shown.list)
 }
 
-func (p *Platform) listNow() List {
-	l := List{Instances: append([]ListInstance(nil), p.instances...)}
+func (p *Platform) listNow() describer.List {
+	l := describer.List{Instances: append([]describer.ListInstance(nil), p.instances...)}
 	for _, h := range p.workers {
 		l.Workers = append(l.Workers, h.listed())
 	}
@@ -411,7 +363,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := Stats{Appends: p.log.Appends}
-	seen := make(map[TaskKey]int)
+	seen := make(map[describer.TaskKey]int)
 	unrepeatable := make(map[string]int)
 	for _, h := range p.workers {
 		h.addTo(&s, seen)
--- a/internal/standin/emulator/worker.go
+++ b/internal/standin/emulator/worker.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/heatherslip/heatherslip/internal/wire/describer"
 )
 
 // Times of the emulated worker.
@@ -19,48 +21,23 @@
 	defaultRun   = 50 * time.Millisecond
 )
 
-// TaskKey identifies a task on a worker.
-type TaskKey struct {
-	ID    string `json:"id"`
-	Index int    `json:"index"`
-}
-
-// Room is what a worker or a task has of each resource.
-type Room struct {
-	Cores        int `json:"cores"`
-	Memory       int `json:"memory"`
-	Accelerators int `json:"accelerators"`
-}
-
-func (r Room) fits(in Room) bool {
-	return r.Cores <= in.Cores && r.Memory <= in.Memory && r.Accelerators <= in.Accelerators
-}
-
-func (r Room) minus(o Room) Room {
-	return Room{r.Cores - o.Cores, r.Memory - o.Memory, r.Accelerators - o.Accelerators}
-}
-
-func (r Room) plus(o Room) Room {
-	return Room{r.Cores + o.Cores, r.Memory + o.Memory, r.Accelerators + o.Accelerators}
-}
-
 // Worker is one worker of the platform. Methods take the time, so that tests
 // run it without a clock. It is not safe for concurrent use.
 type Worker struct {
 	Name   string
 	Domain string
 	Rack   string
-	Total  Room
+	Total  describer.Room
 	Faults WorkerFaults
 	// Counts are what has happened here.
 	Counts WorkerCounts
 
-	free   Room
+	free   describer.Room
 	next   int
 	leases map[string]*workerLease
-	tasks  map[TaskKey]*workerTask
+	tasks  map[describer.TaskKey]*workerTask
 	// running lists the tasks that have not ended.
-	running map[TaskKey]*workerTask
+	running map[describer.TaskKey]*workerTask
 }
 
 // WorkerFaults are what a worker can be made to do.
@@ -93,13 +70,13 @@
 	until  time.Time
 	ended  bool
 	// ends are the ends of the lease's tasks, in order.
-	ends []TaskKey
+	ends []describer.TaskKey
 }
 
 type workerTask struct {
-	key     TaskKey
+	key     describer.TaskKey
 	lease   string
-	room    Room
+	room    describer.Room
 	began   time.Time
 	ends    time.Time
 	ended   bool
@@ -111,17 +88,17 @@
 }
 
 // NewWorker returns an idle worker.
-func NewWorker(name, domain, rack string, total Room) *Worker {
+func NewWorker(name, domain, rack string, total describer.Room) *Worker {
 	return &Worker{
 		Name: name, Domain: domain, Rack: rack, Total: total, free: total,
 		leases:  make(map[string]*workerLease),
-		tasks:   make(map[TaskKey]*workerTask),
-		running: make(map[TaskKey]*workerTask),
+		tasks:   make(map[describer.TaskKey]*workerTask),
+		running: make(map[describer.TaskKey]*workerTask),
 	}
 }
 
 // Free returns the room that no running task takes.
-func (w *Worker) Free() Room { return w.free }
+func (w *Worker) Free() describer.Room { return w.free }
 
 // Open grants a lease.
 func (w *Worker) Open(now time.Time, holder string) string {
@@ -132,32 +109,15 @@
 	return id
 }
 
-// StartOne is a task to start.
-type StartOne struct {
-	TaskKey
-	Room
-	Payload string `json:"payload,omitempty"`
-}
-
-// Verdict is what a worker says of a start.
-type Verdict string
-
-// The verdicts.
-const (
-	VerdictTaken Verdict = "taken"
-	VerdictFull  Verdict = "full"
-	VerdictVoid  Verdict = "void"
-)
-
 // Start starts what there is room for, under a lease that lasts. It does not
 // look whether a task has started before.
-func (w *Worker) Start(now time.Time, lease string, tasks []StartOne) []Verdict {
+func (w *Worker) Start(now time.Time, lease string, tasks []describer.StartOne) []describer.Verdict {
 	w.Counts.StartCalls++
 	w.Advance(now)
-	out := make([]Verdict, len(tasks))
+	out := make([]describer.Verdict, len(tasks))
 	for i := range tasks {
 		out[i] = w.startOne(now, lease, &tasks[i])
-		if out[i] == VerdictTaken {
+		if out[i] == describer.VerdictTaken {
 			w.Counts.Starts++
 		} else {
 			w.Counts.Refused++
@@ -166,20 +126,20 @@
 	return out
 }
 
-func (w *Worker) startOne(now time.Time, lease string, s *StartOne) Verdict {
+func (w *Worker) startOne(now time.Time, lease string, s *describer.StartOne) describer.Verdict {
 	l, found := w.leases[lease]
 	if !found || l.ended {
-		return VerdictVoid
+		return describer.VerdictVoid
 	}
-	if !s.Room.fits(w.free) {
-		return VerdictFull
+	if !s.Room.Fits(w.free) {
+		return describer.VerdictFull
 	}
 	run, ok, output := w.plan(s.Payload)
-	w.free = w.free.minus(s.Room)
+	w.free = w.free.Minus(s.Room)
 	t := &workerTask{key: s.TaskKey, lease: lease, room: s.Room, began: now, ends: now.Add(run), ok: ok, output: output}
 	w.tasks[s.TaskKey] = t
 	w.running[s.TaskKey] = t
-	return VerdictTaken
+	return describer.VerdictTaken
 }
 
 // plan reads how a task goes from its payload, for example "run=80ms fail".
@@ -227,7 +187,7 @@
 	w.forget(now)
 }
 
-func (w *Worker) advanceTask(now time.Time, key TaskKey, t *workerTask) {
+func (w *Worker) advanceTask(now time.Time, key describer.TaskKey, t *workerTask) {
 	if !t.orphaned.IsZero() {
 		if limit := t.orphaned.Add(orphanGrace); limit.Before(t.ends) && !now.Before(limit) {
 			t.dropped, t.ok, t.output = true, false, "lease ended"
@@ -240,10 +200,10 @@
 	}
 }
 
-func (w *Worker) endTask(key TaskKey, t *workerTask) {
+func (w *Worker) endTask(key describer.TaskKey, t *workerTask) {
 	t.ended = true
 	delete(w.running, key)
-	w.free = w.free.plus(t.room)
+	w.free = w.free.Plus(t.room)
 	if l := w.leases[t.lease]; l != nil {
 		l.ends = append(l.ends, key)
 	}
@@ -270,31 +230,23 @@
 	}
 }
 
-// End is how a task ended.
-type End struct {
-	TaskKey
-	OK         bool   `json:"ok"`
-	Output     string `json:"output,omitempty"`
-	TookMillis int    `json:"took_ms"`
-}
-
 // Ends renews the lease and returns how its tasks ended, from a count on. The
 // second result is false where the lease is over.
-func (w *Worker) Ends(now time.Time, lease string, after int) ([]End, bool) {
+func (w *Worker) Ends(now time.Time, lease string, after int) ([]describer.End, bool) {
 	w.Advance(now)
 	l, found := w.leases[lease]
 	if !found || l.ended {
 		return nil, false
 	}
 	l.until = now.Add(LeaseTTL)
-	var out []End
+	var out []describer.End
 	for ; after < len(l.ends); after++ {
 		t := w.tasks[l.ends[after]]
 		if t == nil {
-			out = append(out, End{TaskKey: l.ends[after]})
+			out = append(out, describer.End{TaskKey: l.ends[after]})
 			continue
 		}
-		out = append(out, End{TaskKey: t.key, OK: t.ok, Output: t.output, TookMillis: int(t.ends.Sub(t.began) / time.Millisecond)})
+		out = append(out, describer.End{TaskKey: t.key, OK: t.ok, Output: t.output, TookMillis: int(t.ends.Sub(t.began) / time.Millisecond)})
 	}
 	return out, true
 }
@@ -310,19 +262,9 @@
 	return next, !next.IsZero()
 }
 
-// Seen is what a worker knows of a task.
-type Seen struct {
-	TaskKey
-	Seen    bool   `json:"seen"`
-	Running bool   `json:"running"`
-	Dropped bool   `json:"dropped"`
-	OK      bool   `json:"ok"`
-	Output  string `json:"output,omitempty"`
-}
-
 // Fence ends a lease, or all leases of a holder, and tells what is known of
 // the tasks. No start under these leases is taken from then on.
-func (w *Worker) Fence(now time.Time, holder, lease string, tasks []TaskKey) []Seen {
+func (w *Worker) Fence(now time.Time, holder, lease string, tasks []describer.TaskKey) []describer.Seen {
 	w.Counts.FenceCalls++
 	w.Advance(now)
 	for id, l := range w.leases {
@@ -330,24 +272,24 @@
 			w.endLease(id, l, now)
 		}
 	}
-	out := make([]Seen, len(tasks))
+	out := make([]describer.Seen, len(tasks))
 	for i, key := range tasks {
 		out[i] = w.seen(key)
 	}
 	return out
 }
 
-func (w *Worker) seen(key TaskKey) Seen {
+func (w *Worker) seen(key describer.TaskKey) describer.Seen {
 	t, found := w.tasks[key]
 	if !found {
-		return Seen{TaskKey: key}
+		return describer.Seen{TaskKey: key}
 	}
-	return Seen{TaskKey: key, Seen: true, Running: !t.ended, Dropped: t.dropped, OK: t.ok, Output: t.output}
+	return describer.Seen{TaskKey: key, Seen: true, Running: !t.ended, Dropped: t.dropped, OK: t.ok, Output: t.output}
 }
 
 // Adopt moves tasks under a lease. Those that have ended meanwhile are told
 // with the lease's ends.
-func (w *Worker) Adopt(now time.Time, lease string, tasks []TaskKey) bool {
+func (w *Worker) Adopt(now time.Time, lease string, tasks []describer.TaskKey) bool {
 	w.Advance(now)
 	l, found := w.leases[lease]
 	if !found || l.ended {
@@ -368,7 +310,7 @@
 }
 
 // Stop ends running tasks.
-func (w *Worker) Stop(now time.Time, tasks []TaskKey) {
+func (w *Worker) Stop(now time.Time, tasks []describer.TaskKey) {
 	w.Advance(now)
 	for _, key := range tasks {
 		if t, running := w.running[key]; running {
--- a/internal/wire/coder/message.go
+++ b/internal/wire/coder/message.go
@@ -35,8 +35,8 @@
 	// Nonce is to be returned as Echo, which shows that a beat is fresh.
 	Nonce uint64 `cbor:"6,keyasint"`
 	Echo  uint64 `cbor:"7,keyasint"`
-	// Deaf lists the members that the sender has not heard for a while.
-	Deaf []namer.Incarnation `cbor:"8,keyasint,omitempty"`
+	// Unheard lists the members that the sender has not heard for a while.
+	Unheard []namer.Incarnation `cbor:"8,keyasint,omitempty"`
 	// Idle lists the slots of services that the sender leaves unused.
 	Idle []IdleSlots `cbor:"4,keyasint,omitempty"`
 }
