dispatcher: calls are routed again only where one waits for a way

Each call had all open calls looked through at the next step; in a flood that is a thousand looks for each refusal. Tests of exit codes and of the examples.

--- a/internal/cli/commander/script_test.go
+++ b/internal/cli/commander/script_test.go
@@ -1,12 +1,16 @@
 package commander
 
 import (
+	"io"
 	"os"
 	"path/filepath"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/shoenig/test/must"
+
+	"github.com/heatherslip/heatherslip/internal/config/generator"
+	"github.com/heatherslip/heatherslip/internal/wire/coder"
 )
 
 func TestMain(m *testing.M) {
@@ -33,3 +37,47 @@
 	must.NoError(t, err)
 	must.Eq(t, EventsPage(), string(page), must.Sprint("run: heatherslip events > docs/EVENTS.md"))
 }
+
+func TestExitCodes(t *testing.T) {
+	cases := map[string]struct {
+		args []string
+		code int
+	}{
+		"help":             {[]string{"--help"}, ExitOK},
+		"form":             {[]string{"form"}, ExitOK},
+		"events":           {[]string{"events"}, ExitOK},
+		"no such command":  {[]string{"nonsense"}, ExitUsage},
+		"no such settings": {[]string{"serve", "--settings", "missing.ini"}, ExitUsage},
+		"no such answers":  {[]string{"check", "missing.ini"}, ExitUsage},
+		"no such scenario": {[]string{"load", "missing"}, ExitUsage},
+		"no instance":      {[]string{"--server", "127.0.0.1:1", "job", "fetch", "k"}, ExitUnreachable},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			must.Eq(t, c.code, Main(c.args, io.Discard, io.Discard))
+		})
+	}
+}
+
+func TestAnswersBecomeExitCodes(t *testing.T) {
+	cases := map[coder.Status]int{
+		coder.Done: ExitOK, coder.Running: ExitOK, coder.Failed: ExitFailed,
+		coder.Cancelled: ExitFailed, coder.Refused: ExitRefused, coder.Unknown: ExitUnknown,
+	}
+	for status, want := range cases {
+		t.Run(string(status), func(t *testing.T) {
+			s := &screen{out: io.Discard, err: io.Discard}
+			must.Eq(t, want, code(s.answer("k", coder.Answer{Status: status}), "heatherslip", io.Discard))
+		})
+	}
+}
+
+func TestExamplesAreTheSamples(t *testing.T) {
+	for name, sample := range map[string]string{"akademia": generator.SampleAkademia, "association": generator.SampleAssociation} {
+		t.Run(name, func(t *testing.T) {
+			page, err := os.ReadFile("../../../docs/examples/" + name + ".ini")
+			must.NoError(t, err)
+			must.Eq(t, sample, string(page))
+		})
+	}
+}
--- a/internal/core/dispatcher/entry.go
+++ b/internal/core/dispatcher/entry.go
@@ -136,8 +136,8 @@
 
 // route sends a call to the instance that owns its submission.
 func (n *Node) route(c *call) {
-	n.entry.due = true
 	if n.now.Before(c.notYet) {
+		n.entry.due = true
 		return
 	}
 	to := n.targetOf(c)
@@ -235,6 +235,7 @@
 	waited := n.now.Sub(c.since) > forwardGrace
 	hopeless := !n.logUp() && n.now.Sub(n.membership.born) > joinWait && n.now.Sub(c.since) > beatEvery
 	if !late && !waited && !hopeless {
+		n.entry.due = true
 		return
 	}
 	n.giveUp(c, to)
