placer: stragglers are set aside

Cause: stragglers, jobs of 10 tasks with 6 of 48 workers ten times as slow: p90 9.3 of the ideal, for ever, since slow workers have room like the others. Ruled out: a second copy elsewhere, which would start a task twice. Change: two tasks in a row of more than three times their kind's run time set a worker aside for 5 s, doubling, as failures do.

--- a/internal/bench/loader/report.go
+++ b/internal/bench/loader/report.go
@@ -48,6 +48,7 @@
 	Part float64 `json:"part"`
 	// P50, P99 and P999 are response times over the ideal, of what was done.
 	P50  float64 `json:"p50"`
+	P90  float64 `json:"p90"`
 	P99  float64 `json:"p99"`
 	P999 float64 `json:"p999"`
 	// Added are response times less the ideal, in milliseconds.
@@ -131,7 +132,7 @@
 		}
 	}
 	l.Part = float64(l.Done) / float64(max(1, l.Calls))
-	l.P50, l.P99, l.P999 = quantile(ratios, 50), quantile(ratios, 99), quantile(ratios, 99.9)
+	l.P50, l.P90, l.P99, l.P999 = quantile(ratios, 50), quantile(ratios, 90), quantile(ratios, 99), quantile(ratios, 99.9)
 	l.Added50, l.Added99 = quantile(added, 50), quantile(added, 99)
 	l.Refused50, l.Refused99 = quantile(refused, 50), quantile(refused, 99)
 	l.Others = sortedCounts(others)
@@ -183,11 +184,11 @@
 // WriteCSV writes a report's lines for spreadsheets.
 func (rep *Report) WriteCSV(w io.Writer) error {
 	out := csv.NewWriter(w)
-	rows := [][]string{{"scenario", "mode", "load", "calls", "done", "p50", "p99", "p999", "added_ms_p50", "added_ms_p99", "others"}}
+	rows := [][]string{{"scenario", "mode", "load", "calls", "done", "p50", "p90", "p99", "p999", "added_ms_p50", "added_ms_p99", "others"}}
 	for _, l := range rep.Lines {
 		rows = append(rows, []string{
 			rep.Scenario, rep.Mode, l.Load, strconv.Itoa(l.Calls), strconv.Itoa(l.Done),
-			decimal(l.P50), decimal(l.P99), decimal(l.P999), decimal(l.Added50), decimal(l.Added99), l.OthersText(),
+			decimal(l.P50), decimal(l.P90), decimal(l.P99), decimal(l.P999), decimal(l.Added50), decimal(l.Added99), l.OthersText(),
 		})
 	}
 	if err := out.WriteAll(rows); err != nil {
--- a/internal/cli/commander/load.go
+++ b/internal/cli/commander/load.go
@@ -93,9 +93,9 @@
 
 func (o *outcome) fill(t *table) {
 	rep := o.Report
-	t.row("LOAD", "CALLS", "DONE", "P50/IDEAL", "P99/IDEAL", "P99.9/IDEAL", "ADDED P50 MS", "ADDED P99 MS", "REFUSED P50 MS", "P99", "OTHER ANSWERS")
+	t.row("LOAD", "CALLS", "DONE", "P50/IDEAL", "P90/IDEAL", "P99/IDEAL", "P99.9/IDEAL", "ADDED P50 MS", "ADDED P99 MS", "REFUSED P50 MS", "P99", "OTHER ANSWERS")
 	for _, l := range rep.Lines {
-		t.row(l.Load, fmt.Sprint(l.Calls), fmt.Sprint(l.Done), fmt.Sprintf("%.3f", l.P50), fmt.Sprintf("%.3f", l.P99),
+		t.row(l.Load, fmt.Sprint(l.Calls), fmt.Sprint(l.Done), fmt.Sprintf("%.3f", l.P50), fmt.Sprintf("%.3f", l.P90), fmt.Sprintf("%.3f", l.P99),
 			fmt.Sprintf("%.3f", l.P999), fmt.Sprintf("%.2f", l.Added50), fmt.Sprintf("%.2f", l.Added99),
 			fmt.Sprintf("%.2f", l.Refused50), fmt.Sprintf("%.2f", l.Refused99), l.OthersText())
 	}
--- a/internal/core/dispatcher/task.go
+++ b/internal/core/dispatcher/task.go
@@ -257,12 +257,7 @@
 	t.Output = end.Output
 	r.Open--
 	n.placer.Release(t.Worker, n.sizeOf(r, end.Task.Index))
-	if end.OK && end.Took > 0 {
-		n.tasks.Learn(queuer.Class{Team: r.Work.Submission.Team, Kind: r.Work.Kind}, end.Took)
-	}
-	if r.Final == nil && n.placer.Ended(n.now, t.Worker, end.OK) {
-		n.decide(eventer.WorkerAside, r.ID, end.Task.Index, string(t.Worker), "fails what it starts")
-	}
+	n.judge(r, t, end)
 	switch {
 	case !end.OK:
 		n.finish(r, coder.Answer{
@@ -274,6 +269,29 @@
 	}
 }
 
+// judge counts the end of a task towards its worker's standing, and learns
+// its run time.
+func (n *Node) judge(r *keeper.Record, t *keeper.Task, end TaskEnd) {
+	if r.Final != nil {
+		return
+	}
+	if !end.OK {
+		if n.placer.Ended(n.now, t.Worker, false) {
+			n.decide(eventer.WorkerAside, r.ID, end.Task.Index, string(t.Worker), "fails what it starts")
+		}
+		return
+	}
+	if end.Took == 0 {
+		return
+	}
+	c := queuer.Class{Team: r.Work.Submission.Team, Kind: r.Work.Kind}
+	ratio := float64(end.Took) / float64(n.tasks.Cost(c, end.Took))
+	if n.placer.EndedWell(n.now, t.Worker, ratio) {
+		n.decide(eventer.WorkerAside, r.ID, end.Task.Index, string(t.Worker), "is much slower than the others")
+	}
+	n.tasks.Learn(c, end.Took)
+}
+
 // stopRest stops the tasks of a finished submission that still run, since
 // nobody waits for them, and gives up their room: workers tell what they have
 // free. The answer has been written by now; the states are not read again.
--- a/internal/core/placer/placer.go
+++ b/internal/core/placer/placer.go
@@ -22,6 +22,10 @@
 	minRate = 0.01
 	// maxRate keeps the number of failures that are needed within bounds.
 	maxRate = 0.9
+	// slowRatio times the run time of its kind makes a task slow, and so many
+	// in a row set its worker aside.
+	slowRatio = 3.0
+	maxSlow   = 2
 	// maxDoublings keeps a shift within bounds.
 	maxDoublings = 6
 	// rateShare is the weight of the newest task in the part that fails.
@@ -87,6 +91,7 @@
 	// Running counts the tasks placed and not yet ended.
 	Running int
 
+	slow       int
 	failures   int
 	relapses   int
 	asideUntil time.Time
@@ -308,9 +313,35 @@
 	if w.failures < p.tooMany() && w.relapses == 0 {
 		return false
 	}
+	w.setAside(now)
+	return true
+}
+
+func (w *Worker) setAside(now time.Time) {
 	pause := firstQuarantine << min(w.relapses, maxDoublings)
 	w.relapses++
 	w.asideUntil = now.Add(min(pause, maxQuarantine))
+}
+
+// EndedWell counts a task that ended well and took so many times as long as
+// its kind does. It returns true where this sets the worker aside as a
+// straggler: its tasks are not started again elsewhere, it only gets no more.
+func (p *Placer) EndedWell(now time.Time, name namer.Worker, ratio float64) bool {
+	w := p.workers[name]
+	if w == nil {
+		return false
+	}
+	if ratio < slowRatio {
+		w.slow = 0
+		return p.Ended(now, name, true)
+	}
+	p.learnRate(true)
+	w.probing = false
+	w.slow++
+	if w.slow < maxSlow {
+		return false
+	}
+	w.setAside(now)
 	return true
 }
 
--- a/internal/core/placer/placer_test.go
+++ b/internal/core/placer/placer_test.go
@@ -100,3 +100,16 @@
 	must.NotNil(t, p.Place(back.Add(2*firstQuarantine), one, nil))
 	must.NotNil(t, p.Place(back.Add(2*firstQuarantine), one, nil))
 }
+
+func TestStragglersAreSetAside(t *testing.T) {
+	now := time.Unix(100, 0)
+	p := newPlacer("slow", "fast")
+	must.False(t, p.EndedWell(now, "slow", 10))
+	must.False(t, p.EndedWell(now, "slow", 1), must.Sprint("one slow task is no straggler"))
+	must.False(t, p.EndedWell(now, "slow", 10))
+	must.True(t, p.EndedWell(now, "slow", 10))
+	for range 4 {
+		must.Eq(t, namer.Worker("fast"), p.Place(now, one, nil).Name)
+	}
+	must.Nil(t, p.Place(now, one, nil))
+}
