dispatcher: a rejoining instance keeps the platform's list

Found by make faults: 3 of 242 requests were refused with no-minion by an instance that had just started over and not listed the minions again. TestRejoiningKeepsTheList: red without the list, green with it.

--- a/internal/core/dispatcher/life_test.go
+++ b/internal/core/dispatcher/life_test.go
@@ -165,6 +165,20 @@
 	must.Eq(t, coder.Done, c.answers[0].Status)
 }
 
+// An instance that starts over under a new incarnation still knows what the
+// platform has listed, and does not refuse work for want of it.
+func TestRejoiningKeepsTheList(t *testing.T) {
+	s := newSim(t, 2, 1, ModeHeir)
+	s.freeze(0, 3*time.Second)
+	s.run(3 * time.Second)
+	was := s.nodes[0].inc
+	for s.nodes[0].inc == was {
+		s.run(time.Millisecond)
+	}
+	must.SliceNotEmpty(t, s.nodes[0].node.Workers())
+	must.SliceNotEmpty(t, s.nodes[0].node.Minions())
+}
+
 // What is in force outlives the log's retention: it is written again in time,
 // also where nothing else happens.
 func TestStateOutlivesRetention(t *testing.T) {
--- a/internal/core/dispatcher/node.go
+++ b/internal/core/dispatcher/node.go
@@ -105,6 +105,9 @@
 	starts   []Start
 	requests requests
 
+	// list is what the platform listed last; it outlives an incarnation.
+	list Listed
+
 	draining bool
 	left     bool
 	lastScan time.Time
--- a/internal/core/dispatcher/task.go
+++ b/internal/core/dispatcher/task.go
@@ -320,6 +320,7 @@
 
 // listed takes in the platform's list.
 func (n *Node) listed(e Listed) {
+	n.list = e
 	present := make(map[namer.Worker]bool)
 	for _, l := range e.Workers {
 		if l.Domain != n.self.Domain {
--- a/internal/core/dispatcher/view.go
+++ b/internal/core/dispatcher/view.go
@@ -63,6 +63,7 @@
 	for inc, p := range peers {
 		n.membership.peers[inc] = &peer{member: p.member, heard: n.now}
 	}
+	n.listed(n.list)
 	n.entry.unlinkAll()
 	n.log.claims = nil
 	n.log.denials = nil
