policer: one reader of durations, numbers and unknown keys; dead state gone

The questionnaire's reader repeated the configuration's checks for unknown keys, durations and whole numbers: both use the methods of policer.Findings now, with the same texts. The home of a record, and the times at which records and tasks came into their states, were written and never read.

--- a/internal/config/checker/settings.go
+++ b/internal/config/checker/settings.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/rs/zerolog"
@@ -99,22 +100,13 @@
 			continue
 		}
 		for _, k := range s.Keys() {
-			if !contains(known, k.Name()) {
+			if !slices.Contains(known, k.Name()) {
 				c.find(s.Name(), k.Name(), "unknown key")
 			}
 		}
 	}
 }
 
-func contains(list []string, s string) bool {
-	for _, l := range list {
-		if l == s {
-			return true
-		}
-	}
-	return false
-}
-
 func (c *check) settings() *Settings {
 	s := &Settings{
 		Name:     c.text("instance", "name"),
--- a/internal/config/generator/answers.go
+++ b/internal/config/generator/answers.go
@@ -123,20 +123,18 @@
 	return r.answers, nil
 }
 
+const unknownQuestion = "unknown question"
+
 type reader struct {
 	answers  *Answers
 	findings policer.Findings
 }
 
-func (r *reader) find(section, key, problem string) {
-	r.findings = append(r.findings, policer.Finding{Section: section, Key: key, Problem: problem})
-}
-
 func (r *reader) section(s *ini.Section) {
 	kind, name, _ := strings.Cut(s.Name(), " ")
 	switch kind {
 	case ini.DefaultSection:
-		r.only(s)
+		r.findings.Unknown(s, unknownQuestion)
 	case "trade":
 		r.trade(s)
 	case "caller":
@@ -144,77 +142,53 @@
 	case "work":
 		r.work(s, name)
 	default:
-		r.find(s.Name(), "", "unknown section")
-	}
-}
-
-func (r *reader) only(s *ini.Section, known ...string) {
-	for _, k := range s.Keys() {
-		found := false
-		for _, name := range known {
-			found = found || name == k.Name()
-		}
-		if !found {
-			r.find(s.Name(), k.Name(), "unknown question")
-		}
+		r.findings.Add(s.Name(), "", "unknown section")
 	}
 }
 
 func (r *reader) trade(s *ini.Section) {
-	r.only(s, "name", "domains", "services", "largest", "resubmit", "clocks")
+	r.findings.Unknown(s, unknownQuestion, "name", "domains", "services", "largest", "resubmit", "clocks")
 	t := &r.answers.Trade
 	t.Name = s.Key("name").String()
 	t.Domains = s.Key("domains").Strings(",")
 	t.Services = s.Key("services").Strings(",")
-	t.Resubmit = r.duration(s, "resubmit", policer.MinRemember, policer.MaxRemember)
-	t.Clocks = r.duration(s, "clocks", time.Millisecond, time.Minute)
-	n, err := s.Key("largest").Int()
-	if err != nil || n < 1 || n > policer.MaxTasks {
-		r.find(s.Name(), "largest", fmt.Sprintf("not a whole number from 1 to %d", policer.MaxTasks))
-	}
-	t.Largest = n
+	t.Resubmit = r.findings.Duration(s, "resubmit", policer.MinRemember, policer.MaxRemember)
+	t.Clocks = r.findings.Duration(s, "clocks", time.Millisecond, time.Minute)
+	t.Largest = r.findings.Integer(s, "largest", 1, policer.MaxTasks)
 }
 
 func (r *reader) caller(s *ini.Section, name string) {
-	r.only(s, "digest", "operator", "at_once")
+	r.findings.Unknown(s, unknownQuestion, "digest", "operator", "at_once")
 	c := Caller{Name: name, Digest: s.Key("digest").String()}
 	switch answer := s.Key("operator").String(); answer {
 	case "yes":
 		c.Operator = true
 	case "no":
 	default:
-		r.find(s.Name(), "operator", "neither yes nor no")
+		r.findings.Add(s.Name(), "operator", "neither yes nor no")
 	}
 	n, err := s.Key("at_once").Int()
 	if err != nil || n < 0 {
-		r.find(s.Name(), "at_once", "not a whole number from 0 up")
+		r.findings.Add(s.Name(), "at_once", "not a whole number from 0 up")
 	}
 	c.AtOnce = n
 	if c.Operator && c.Digest == "" {
-		r.find(s.Name(), "digest", "an operator needs a token; make one with heatherslip token")
+		r.findings.Add(s.Name(), "digest", "an operator needs a token; make one with heatherslip token")
 	}
 	r.answers.Callers = append(r.answers.Callers, c)
 }
 
 func (r *reader) work(s *ini.Section, name string) {
-	r.only(s, "patience", "late", "lost", "doubled")
+	r.findings.Unknown(s, unknownQuestion, "patience", "late", "lost", "doubled")
 	r.answers.Work = append(r.answers.Work, Work{
 		Name:     name,
-		Patience: r.duration(s, "patience", 10*time.Millisecond, policer.MaxDeadline),
+		Patience: r.findings.Duration(s, "patience", 10*time.Millisecond, policer.MaxDeadline),
 		Late:     r.harm(s, "late"),
 		Lost:     r.harm(s, "lost"),
 		Doubled:  r.harm(s, "doubled"),
 	})
 }
 
-func (r *reader) duration(s *ini.Section, key string, low, high time.Duration) time.Duration {
-	d, err := time.ParseDuration(s.Key(key).String())
-	if err != nil || d < low || d > high {
-		r.find(s.Name(), key, fmt.Sprintf("not a duration from %v to %v", low, high))
-	}
-	return d
-}
-
 func (r *reader) harm(s *ini.Section, key string) Harm {
 	answer := s.Key(key).String()
 	for i, h := range harms {
@@ -222,26 +196,26 @@
 			return Harm(i)
 		}
 	}
-	r.find(s.Name(), key, "not one of "+strings.Join(harms, ", "))
+	r.findings.Add(s.Name(), key, "not one of "+strings.Join(harms, ", "))
 	return None
 }
 
 func (r *reader) whole() {
 	a := r.answers
 	if a.Trade.Name == "" {
-		r.find("trade", "name", "is missing")
+		r.findings.Add("trade", "name", "is missing")
 	}
 	if len(a.Trade.Domains) == 0 {
-		r.find("trade", "domains", "no failure domain is named")
+		r.findings.Add("trade", "domains", "no failure domain is named")
 	}
 	if len(a.Work) == 0 {
-		r.find("work", "", "no kind of work is described")
+		r.findings.Add("work", "", "no kind of work is described")
 	}
 	operator := false
 	for _, c := range a.Callers {
 		operator = operator || c.Operator
 	}
 	if !operator {
-		r.find("caller", "operator", "no caller is an operator")
+		r.findings.Add("caller", "operator", "no caller is an operator")
 	}
 }
--- a/internal/config/policer/policy.go
+++ b/internal/config/policer/policy.go
@@ -73,26 +73,6 @@
 	Name namer.Service
 }
 
-// Finding is one thing wrong with a text, with its place.
-type Finding struct {
-	Section, Key, Problem string
-}
-
-func (f Finding) String() string {
-	return fmt.Sprintf("[%s] %s: %s", f.Section, f.Key, f.Problem)
-}
-
-// Findings collects everything that is wrong with a text.
-type Findings []Finding
-
-func (f Findings) Error() string {
-	lines := make([]string, len(f))
-	for i := range f {
-		lines[i] = f[i].String()
-	}
-	return strings.Join(lines, "; ")
-}
-
 // Parse reads a configuration. Its error is Findings, all of them, or that of
 // the INI reader.
 func Parse(text string) (*Policy, error) {
@@ -120,7 +100,7 @@
 	kind, name, _ := strings.Cut(s.Name(), " ")
 	switch kind {
 	case ini.DefaultSection:
-		r.keys(s)
+		r.findings.Unknown(s, "unknown key")
 	case "fleet":
 		r.fleet(s)
 	case "team":
@@ -128,59 +108,42 @@
 	case "kind":
 		r.kind(s, name)
 	case "service":
-		r.keys(s)
+		r.findings.Unknown(s, "unknown key")
 		r.policy.Services = append(r.policy.Services, Service{Name: namer.Service(name)})
 	default:
-		r.find(s, "", "unknown section")
-	}
-}
-
-func (r *reader) find(s *ini.Section, key, problem string) {
-	r.findings = append(r.findings, Finding{Section: s.Name(), Key: key, Problem: problem})
-}
-
-// keys reports each key of the section that is not among those known.
-func (r *reader) keys(s *ini.Section, known ...string) {
-	for _, k := range s.Keys() {
-		found := false
-		for _, name := range known {
-			found = found || name == k.Name()
-		}
-		if !found {
-			r.find(s, k.Name(), "unknown key")
-		}
+		r.findings.Add(s.Name(), "", "unknown section")
 	}
 }
 
 func (r *reader) fleet(s *ini.Section) {
-	r.keys(s, "domains", "remember", "skew", "deadline", "tasks")
+	r.findings.Unknown(s, "unknown key", "domains", "remember", "skew", "deadline", "tasks")
 	for _, d := range s.Key("domains").Strings(",") {
 		r.policy.Domains = append(r.policy.Domains, namer.Domain(d))
 	}
-	r.policy.Remember = r.duration(s, "remember", MinRemember, MaxRemember)
-	r.policy.Skew = r.duration(s, "skew", time.Millisecond, time.Minute)
-	r.policy.Deadline = r.duration(s, "deadline", time.Millisecond, MaxDeadline)
-	r.policy.Tasks = r.integer(s, "tasks", 1, MaxTasks)
+	r.policy.Remember = r.findings.Duration(s, "remember", MinRemember, MaxRemember)
+	r.policy.Skew = r.findings.Duration(s, "skew", time.Millisecond, time.Minute)
+	r.policy.Deadline = r.findings.Duration(s, "deadline", time.Millisecond, MaxDeadline)
+	r.policy.Tasks = r.findings.Integer(s, "tasks", 1, MaxTasks)
 }
 
 func (r *reader) team(s *ini.Section, name string) {
-	r.keys(s, "token", "role", "quota")
+	r.findings.Unknown(s, "unknown key", "token", "role", "quota")
 	t := Team{Name: namer.Team(name), Token: s.Key("token").String()}
 	if t.Token != "" && !validDigest(t.Token) {
-		r.find(s, "token", "not a SHA-256 digest in hexadecimal")
+		r.findings.Add(s.Name(), "token", "not a SHA-256 digest in hexadecimal")
 	}
 	switch role := s.Key("role").MustString("caller"); role {
 	case "caller":
 	case "operator":
 		t.Operator = true
 	default:
-		r.find(s, "role", "neither caller nor operator")
+		r.findings.Add(s.Name(), "role", "neither caller nor operator")
 	}
 	if s.HasKey("quota") {
-		t.Quota = r.integer(s, "quota", 0, 1<<30)
+		t.Quota = r.findings.Integer(s, "quota", 0, 1<<30)
 	}
 	if t.Operator && t.Token == "" {
-		r.find(s, "token", "an operator needs a token")
+		r.findings.Add(s.Name(), "token", "an operator needs a token")
 	}
 	r.policy.Teams = append(r.policy.Teams, t)
 }
@@ -191,51 +154,33 @@
 }
 
 func (r *reader) kind(s *ini.Section, name string) {
-	r.keys(s, "weight", "deadline", "wait", "unrepeatable")
+	r.findings.Unknown(s, "unknown key", "weight", "deadline", "wait", "unrepeatable")
 	k := Kind{Name: namer.Kind(name)}
 	w, err := s.Key("weight").Float64()
 	if err != nil || w <= 0 || w > 1000 {
-		r.find(s, "weight", "not a number above 0 and up to 1000")
+		r.findings.Add(s.Name(), "weight", "not a number above 0 and up to 1000")
 	}
 	k.Weight = w
-	k.Deadline = r.duration(s, "deadline", time.Millisecond, MaxDeadline)
-	k.Wait = r.duration(s, "wait", time.Millisecond, MaxDeadline)
+	k.Deadline = r.findings.Duration(s, "deadline", time.Millisecond, MaxDeadline)
+	k.Wait = r.findings.Duration(s, "wait", time.Millisecond, MaxDeadline)
 	k.Unrepeatable = s.Key("unrepeatable").MustBool(false)
 	r.policy.Kinds = append(r.policy.Kinds, k)
 }
 
-func (r *reader) duration(s *ini.Section, key string, low, high time.Duration) time.Duration {
-	d, err := time.ParseDuration(s.Key(key).String())
-	if err != nil || d < low || d > high {
-		r.find(s, key, fmt.Sprintf("not a duration from %v to %v", low, high))
-		return 0
-	}
-	return d
-}
-
-func (r *reader) integer(s *ini.Section, key string, low, high int) int {
-	n, err := s.Key(key).Int()
-	if err != nil || n < low || n > high {
-		r.find(s, key, fmt.Sprintf("not a whole number from %d to %d", low, high))
-		return 0
-	}
-	return n
-}
-
 // whole checks what no section can check alone.
 func (r *reader) whole() {
 	if len(r.policy.Domains) == 0 {
-		r.findings = append(r.findings, Finding{"fleet", "domains", "no failure domain is named"})
+		r.findings.Add("fleet", "domains", "no failure domain is named")
 	}
 	if len(r.policy.Kinds) == 0 {
-		r.findings = append(r.findings, Finding{"kind", "", "no kind of work is declared"})
+		r.findings.Add("kind", "", "no kind of work is declared")
 	}
 	operator := false
 	for _, t := range r.policy.Teams {
 		operator = operator || t.Operator
 	}
 	if !operator {
-		r.findings = append(r.findings, Finding{"team", "role", "no team is the operator"})
+		r.findings.Add("team", "role", "no team is the operator")
 	}
 }
 
--- a/internal/core/dispatcher/entry.go
+++ b/internal/core/dispatcher/entry.go
@@ -86,8 +86,6 @@
 	}
 }
 
-func (e *entry) relink(namer.Incarnation) { e.due = true }
-
 func (e *entry) unlinkAll() {
 	for _, c := range e.calls {
 		c.target = ""
--- a/internal/core/dispatcher/fence.go
+++ b/internal/core/dispatcher/fence.go
@@ -147,7 +147,6 @@
 		n.voidPlacement(r, index, t, "worker has not seen the task")
 	case seen.Running:
 		t.State = keeper.Started
-		t.Since = n.now
 		return true
 	case seen.Dropped:
 		n.endTask(r, t, TaskEnd{Task: seen.Task, Output: "ended by its worker with the lease"})
--- a/internal/core/dispatcher/membership.go
+++ b/internal/core/dispatcher/membership.go
@@ -122,7 +122,7 @@
 	n.membership.syncSent = time.Time{}
 	n.membership.lastBeat = time.Time{}
 	n.replica.resend(m.Incarnation, n)
-	n.entry.relink(m.Incarnation)
+	n.entry.due = true
 	n.decide(eventer.LinkUp, "", 0, string(m.Incarnation), "")
 }
 
--- a/internal/core/dispatcher/owner.go
+++ b/internal/core/dispatcher/owner.go
@@ -248,12 +248,10 @@
 		ID:     w.Submission.ID(),
 		Work:   w,
 		Digest: digest,
-		Home:   n.self.Domain,
 		Runner: runner,
 		Backup: backup,
 		Tasks:  make([]keeper.Task, len(w.Tasks)),
 		Open:   len(w.Tasks),
-		Since:  n.now,
 		Until:  w.Deadline.Add(n.policy.Remember),
 	}
 }
--- a/internal/core/dispatcher/replica.go
+++ b/internal/core/dispatcher/replica.go
@@ -310,7 +310,6 @@
 		return
 	}
 	t.State = keeper.Starting
-	t.Since = n.now
 	n.queueStart(r, index, t)
 }
 
--- a/internal/core/dispatcher/task.go
+++ b/internal/core/dispatcher/task.go
@@ -111,7 +111,6 @@
 	t.Attempt++
 	t.Worker = w.Name
 	t.Lease = w.Lease
-	t.Since = n.now
 	n.decide(eventer.Placed, r.ID, it.Index, string(w.Name), "room and fair share")
 	n.markDirty(r)
 	return true
@@ -173,7 +172,6 @@
 	case StartTaken:
 		n.counted(r, res.Task.Index, t)
 		t.State = keeper.Started
-		t.Since = n.now
 		n.placer.Taken(t.Worker)
 	case StartFull:
 		n.decide(eventer.StartRefused, r.ID, res.Task.Index, string(t.Worker), "full")
--- a/internal/core/keeper/table.go
+++ b/internal/core/keeper/table.go
@@ -42,8 +42,6 @@
 	Shown  bool
 	OK     bool
 	Output string
-	// Since is when the task came into its state.
-	Since time.Time
 }
 
 // Waiter is a call that waits for a terminal answer. Peer is empty for a call
@@ -58,8 +56,6 @@
 	ID     namer.ID
 	Work   *coder.Work
 	Digest string
-	// Home is the domain whose members own the submission.
-	Home namer.Domain
 	// Runner is the only instance that starts the submission's tasks.
 	Runner namer.Incarnation
 	// Backup is empty where the runner is alone and holds a claim instead.
@@ -80,8 +76,7 @@
 	// Final never changes once it is set. Callers hear it once Confirmed.
 	Final     *coder.Answer
 	Confirmed bool
-	// Since is when the record was made; Until is when it is forgotten.
-	Since   time.Time
+	// Until is when the record is forgotten.
 	Until   time.Time
 	Waiters []Waiter
 	// Racks counts the placements of the job by rack.
