scheduler: a job given up after a start is answered 504

Cause: a job that could not end in time any more was answered 200 failed; the platform takes failed to mean that a task failed in each attempt (LOST). Ruled out: 429 and 503, which say that nothing has run.

--- a/internal/core/scheduler/action.go
+++ b/internal/core/scheduler/action.go
@@ -17,8 +17,11 @@
 const (
 	// Completed says that each task of the job has ended well.
 	Completed Outcome = iota
-	// Failed says that the job has ended otherwise; some of it may have run.
+	// Failed says that a task of the job has failed in each of its attempts.
 	Failed
+	// GivenUp says that the job can't end in time: some of it has run, what
+	// still runs is stopped, and it may be handed in again.
+	GivenUp
 	// Refused says that nothing of the job has run or will.
 	Refused
 	// Unavailable says the same, because this instance cannot serve at all.
--- a/internal/core/scheduler/admission.go
+++ b/internal/core/scheduler/admission.go
@@ -182,6 +182,14 @@
 	s.end(j)
 }
 
+// abort ends a job that can't be served any more though some of it may have
+// run.
+func (s *Scheduler) abort(j *job, reason string) {
+	s.decide(eventer.JobGivenUp, j, Decision{Reason: reason, Waiting: j.waitingTasks()})
+	s.answer(j, Answer{Outcome: GivenUp, RetryAfter: retryAfter, Reason: reason})
+	s.end(j)
+}
+
 // refuse tells a caller that nothing of its job has run or will.
 func (s *Scheduler) refuse(j *job, o Outcome, reason string) {
 	s.decide(eventer.JobRefused, j, Decision{
@@ -194,7 +202,7 @@
 // giveUp ends a job that can't be served any more.
 func (s *Scheduler) giveUp(j *job, reason string) {
 	if j.begun() {
-		s.fail(j, reason)
+		s.abort(j, reason)
 		return
 	}
 	s.refuse(j, Refused, reason)
@@ -223,7 +231,7 @@
 	case !j.begun() && !s.now.Before(j.giveUp):
 		s.refuse(j, s.refusalOutcome(j), s.refusalReason(j))
 	case j.begun() && s.hopeless(j):
-		s.fail(j, "can't end in time any more")
+		s.abort(j, "can't end in time any more")
 	}
 }
 
--- a/internal/core/scheduler/poll.go
+++ b/internal/core/scheduler/poll.go
@@ -234,7 +234,7 @@
 func (s *Scheduler) takenOver(j *job) {
 	j.takenOver++
 	if j.takenOver > len(j.tasks) {
-		s.fail(j, "another instance stops its runs")
+		s.abort(j, "another instance stops its runs")
 	}
 }
 
--- a/internal/edge/driver/log.go
+++ b/internal/edge/driver/log.go
@@ -18,6 +18,7 @@
 	eventer.JobRefused:     zerolog.InfoLevel,
 	eventer.JobFailed:      zerolog.InfoLevel,
 	eventer.JobAbandoned:   zerolog.InfoLevel,
+	eventer.JobGivenUp:     zerolog.InfoLevel,
 	eventer.TaskNotStarted: zerolog.InfoLevel,
 	eventer.TaskMoved:      zerolog.InfoLevel,
 	eventer.TaskVanished:   zerolog.InfoLevel,
--- a/internal/edge/driver/meters.go
+++ b/internal/edge/driver/meters.go
@@ -72,7 +72,7 @@
 		m.Observe("job_response", a.Response)
 	case eventer.JobRefused:
 		m.Observe("job_refusal", a.Response)
-	case eventer.JobFailed:
+	case eventer.JobFailed, eventer.JobGivenUp:
 		m.Observe("job_failure", a.Response)
 	case eventer.TaskEnded:
 		m.Observe("task_run", a.Age)
--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -175,6 +175,9 @@
 	case scheduler.Completed, scheduler.Failed:
 		write(w, http.StatusOK, platform.EncodeState(a.Outcome))
 		return
+	case scheduler.GivenUp:
+		setRetry(w, a.RetryAfter)
+		write(w, http.StatusGatewayTimeout, platform.EncodeError(a.Reason))
 	case scheduler.Refused:
 		setRetry(w, a.RetryAfter)
 		write(w, http.StatusTooManyRequests, platform.EncodeError(a.Reason))
--- a/internal/wire/eventer/events.go
+++ b/internal/wire/eventer/events.go
@@ -60,6 +60,7 @@
 	JobCompleted   Event = 503
 	JobFailed      Event = 504
 	JobAbandoned   Event = 505
+	JobGivenUp     Event = 506
 	TaskPlaced     Event = 510
 	TaskNotStarted Event = 511
 	TaskEnded      Event = 512
@@ -148,7 +149,8 @@
 		{JobAttached, "job attached", "A client has sent a job again that is open here; both calls get the same answer."},
 		{JobRefused, "job refused", "Nothing of the job has run or will; the caller was told when to come back."},
 		{JobCompleted, "job completed", "All tasks have ended well and the caller has the answer."},
-		{JobFailed, "job failed", "The job was given up after a start; the reason is in the line."},
+		{JobFailed, "job failed", "A task of the job has failed in each of its attempts."},
+		{JobGivenUp, "job given up", "The job can't end in time any more; what runs of it is stopped and the caller may hand it in again."},
 		{JobAbandoned, "job abandoned", "The caller has gone; what ran of the job is stopped."},
 		{TaskPlaced, "task placed", "A start was sent to a worker; age is how old the word of the worker was."},
 		{TaskNotStarted, "task not started", "A worker turned a start down, or did not answer it; the task waits again or is asked about."},
