--- a/internal/core/scheduler/action.go
+++ b/internal/core/scheduler/action.go
@@ -79,6 +79,10 @@
 	Reason string
 	// Age is how old the word of the worker was that decided.
 	Age time.Duration
+	// Free is the room that the worker was taken to have, without the task.
+	Free namer.MilliCores
+	// Foreign is the number of other instances' runs that it listed.
+	Foreign int
 	// Predicted is the run time that the decision reckoned with.
 	Predicted time.Duration
 	// Waiting is the number of tasks that waited for room.
--- a/internal/core/scheduler/admission.go
+++ b/internal/core/scheduler/admission.go
@@ -14,6 +14,9 @@
 	waitShare = 0.25
 	// lateFactor times the objective is how long an answer is worth having.
 	lateFactor = 3.0
+	// firstLooks is how long an instance that has just started has to hear its
+	// workers before it says that it reaches none.
+	firstLooks = 500 * time.Millisecond
 	// retryAfter is what refused callers are told; the platform's bursts last
 	// for seconds, and HTTP counts whole ones.
 	retryAfter = time.Second
@@ -51,6 +54,10 @@
 		s.refuse(j, Refused, reason)
 		return
 	}
+	if !s.anyUsable(j.Service) && s.now.Sub(s.started) > firstLooks {
+		s.refuse(j, Unavailable, "no worker can be reached")
+		return
+	}
 	if s.ghosts[j.Name] > 0 {
 		s.stopEarlier(j.Name)
 	}
@@ -60,11 +67,8 @@
 // has been sent again to this one.
 func (s *Scheduler) stopEarlier(name namer.JobName) {
 	for _, w := range s.sorted {
-		for key := range w.foreign {
-			if key.task.Job == name {
-				s.stopForeign(w)
-				break
-			}
+		if slices.ContainsFunc(w.foreign, func(a ActiveRun) bool { return a.Task.Job == name }) {
+			s.stopForeign(w)
 		}
 	}
 }
@@ -208,7 +212,8 @@
 	s.refuse(j, Refused, reason)
 }
 
-// runDeadlines ends the jobs that can't be served any more.
+// runDeadlines ends the jobs that can't be served any more, and looks after
+// runs that are slow.
 func (s *Scheduler) runDeadlines() {
 	if s.now.Sub(s.lastScan) < scanEvery {
 		return
@@ -222,6 +227,7 @@
 	for _, j := range slices.Clone(s.open) {
 		s.checkDeadline(j)
 	}
+	s.runStragglers()
 }
 
 func (s *Scheduler) checkDeadline(j *job) {
--- a/internal/core/scheduler/job.go
+++ b/internal/core/scheduler/job.go
@@ -110,7 +110,9 @@
 	// provenAt is when the worker answered a stop; zero until then. From then
 	// on the run does not start any more, and ends soon if it is there.
 	provenAt time.Time
-	percent  int
+	// present is set where the worker's last list shows the run.
+	present bool
+	percent int
 	// percentAt is when the worker told percent.
 	percentAt time.Time
 	// predicted is the run time expected when it was placed.
--- a/internal/core/scheduler/place.go
+++ b/internal/core/scheduler/place.go
@@ -169,8 +169,8 @@
 
 func (w *worker) runsOf(t *task) int {
 	n := 0
-	for key := range w.own {
-		if key.task.Job == t.name.Job && key.task.Step == t.name.Step {
+	for _, r := range w.own {
+		if r.name.Job == t.name.Job && r.name.Step == t.name.Step {
 			n++
 		}
 	}
@@ -244,9 +244,8 @@
 		task: t, sent: s.now, predicted: k.predict(t.step),
 	}
 	t.run, t.state = r, taskStarting
-	key := runKey{r.name, r.number}
-	s.runs[key] = r
-	w.own[key] = r
+	s.runs[runKey{r.name, r.number}] = r
+	w.own = append(w.own, r)
 	w.ownUsed = w.ownUsed.plus(r.size)
 	s.do(Start{
 		Worker: w.id, Task: r.name, Run: r.number, Payload: t.job.Payload,
@@ -254,6 +253,7 @@
 	})
 	s.decide(eventer.TaskPlaced, t.job, Decision{
 		Task: taskLabel(t.name), Run: r.number, Worker: w.id, Age: s.now.Sub(w.heard), Predicted: r.predicted,
+		Free: w.room().Cores, Foreign: len(w.foreign),
 	})
 }
 
--- a/internal/core/scheduler/poll.go
+++ b/internal/core/scheduler/poll.go
@@ -119,7 +119,7 @@
 // stopLost stops the runs whose start was lost and that a poll sent after it
 // has not shown.
 func (s *Scheduler) stopLost(w *worker, e Polled) {
-	for _, r := range sortedRuns(w.own) {
+	for _, r := range slices.Clone(w.own) {
 		if r.lost && !e.Sent.Before(r.lostAt) {
 			r.stopping = true
 		}
@@ -172,16 +172,15 @@
 
 // foreignEnded frees the room of another instance's run.
 func (s *Scheduler) foreignEnded(w *worker, e EndedRun) {
-	key := runKey{e.Task, e.Run}
-	if _, found := w.foreign[key]; !found {
-		return
-	}
-	rows := make(map[runKey]ActiveRun, len(w.foreign))
-	for k, a := range w.foreign {
-		if k != key {
-			rows[k] = a
+	rows := make([]ActiveRun, 0, len(w.foreign))
+	for _, a := range w.foreign {
+		if a.Run != e.Run || a.Task != e.Task {
+			rows = append(rows, a)
 		}
 	}
+	if len(rows) == len(w.foreign) {
+		return
+	}
 	s.setForeign(w, rows)
 	w.fullUntil = time.Time{}
 	s.changed = true
@@ -258,18 +257,18 @@
 // takeActive takes in the runs that a worker lists as present. What it does
 // not list, though it was asked after the start was answered, has ended unseen.
 func (s *Scheduler) takeActive(w *worker, e Polled, fresh bool) {
-	present := make(map[runKey]bool, len(e.Active))
-	foreign := make(map[runKey]ActiveRun)
+	var foreign []ActiveRun
+	for _, r := range w.own {
+		r.present = false
+	}
 	for _, a := range e.Active {
-		key := runKey{a.Task, a.Run}
-		present[key] = true
-		if r := w.own[key]; r != nil {
+		if r := s.runs[runKey{a.Task, a.Run}]; r != nil && r.worker == w {
 			s.confirm(r)
-			r.percent, r.percentAt = a.Percent, s.now
+			r.present, r.percent, r.percentAt = true, a.Percent, s.now
 			continue
 		}
-		foreign[key] = a
-		if _, known := w.foreign[key]; !known && fresh {
+		foreign = append(foreign, a)
+		if fresh && !w.lists(a) {
 			s.seenTag(a.Run.Tag())
 		}
 	}
@@ -278,11 +277,9 @@
 		s.changed = true
 	}
 	s.setForeign(w, foreign)
-	for _, r := range sortedRuns(w.own) {
-		if present[runKey{r.name, r.number}] {
-			continue
-		}
+	for _, r := range slices.Clone(w.own) {
 		switch {
+		case r.present:
 		case !r.provenAt.IsZero() && !e.Sent.Before(r.provenAt):
 			s.over(r)
 		case r.confirmed && e.Sent.After(r.begun):
@@ -293,6 +290,11 @@
 	s.stopForeign(w)
 }
 
+// lists reports whether a run of another instance was listed before.
+func (w *worker) lists(a ActiveRun) bool {
+	return slices.ContainsFunc(w.foreign, func(o ActiveRun) bool { return o.Run == a.Run && o.Task == a.Task })
+}
+
 // vanished ends a run whose end another instance has acknowledged.
 func (s *Scheduler) vanished(w *worker, r *run) {
 	if t := r.task; t != nil {
@@ -307,22 +309,11 @@
 	if s.now.Sub(s.started) < peerSilence {
 		return
 	}
-	keys := make([]runKey, 0, len(w.foreign))
-	for key := range w.foreign {
-		if !s.heardTag(key.run.Tag()) || s.byName[key.task.Job] != nil {
-			keys = append(keys, key)
-		}
-	}
-	slices.SortFunc(keys, func(a, b runKey) int {
-		if a.run != b.run && a.run < b.run || a.run == b.run && lessTask(a.task, b.task) {
-			return -1
+	for _, a := range w.foreign {
+		if s.heardTag(a.Run.Tag()) && s.byName[a.Task.Job] == nil {
+			continue
 		}
-		return 1
-	})
-	for _, key := range keys {
-		s.do(Decision{
-			Event: eventer.RunAbandoned, Job: key.task.Job, Task: taskLabel(key.task), Run: key.run, Worker: w.id,
-		})
-		s.do(Stop{Worker: w.id, Task: key.task, Run: key.run})
+		s.do(Decision{Event: eventer.RunAbandoned, Job: a.Task.Job, Task: taskLabel(a.Task), Run: a.Run, Worker: w.id})
+		s.do(Stop{Worker: w.id, Task: a.Task, Run: a.Run})
 	}
 }
--- a/internal/core/scheduler/run.go
+++ b/internal/core/scheduler/run.go
@@ -37,6 +37,7 @@
 	if r.task != nil {
 		s.decide(eventer.TaskNotStarted, r.task.job, Decision{
 			Task: taskLabel(r.name), Run: r.number, Worker: w.id, Reason: verdictText[e.Verdict], Age: e.Took,
+			Free: w.room().Cores, Foreign: len(w.foreign),
 		})
 	}
 	switch e.Verdict {
@@ -108,7 +109,7 @@
 // runStops sends the stops that are due.
 func (s *Scheduler) runStops() {
 	for _, w := range s.sorted {
-		for _, r := range sortedRuns(w.own) {
+		for _, r := range w.own {
 			if !r.stopping || r.stopSent || s.now.Before(r.stopAt) {
 				continue
 			}
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -130,7 +130,6 @@
 		s.take(e)
 	}
 	s.runDeadlines()
-	s.runStragglers()
 	s.runPlacement()
 	s.runStops()
 	s.runPolls()
--- a/internal/core/scheduler/worker.go
+++ b/internal/core/scheduler/worker.go
@@ -32,10 +32,10 @@
 	// foreignEnds are the ends of other instances' runs, by number, with the
 	// time when they were first listed.
 	foreignEnds map[int64]time.Time
-	// own are the runs of this instance that may be there.
-	own map[runKey]*run
+	// own are the runs of this instance that may be there, the oldest first.
+	own []*run
 	// foreign are the runs of other instances that the worker listed last.
-	foreign map[runKey]ActiveRun
+	foreign []ActiveRun
 	// orphans counts those foreign runs whose instance is silent.
 	orphans int
 	// ownUsed and foreignUsed are the room of both.
@@ -131,10 +131,7 @@
 }
 
 func (s *Scheduler) addWorker(l *ListedWorker) {
-	w := &worker{
-		id: l.ID, own: make(map[runKey]*run), foreign: make(map[runKey]ActiveRun),
-		foreignEnds: make(map[int64]time.Time),
-	}
+	w := &worker{id: l.ID, foreignEnds: make(map[int64]time.Time)}
 	s.workers[l.ID] = w
 	s.insert(w)
 	s.updateWorker(w, l)
@@ -164,7 +161,7 @@
 	w.looked, w.acknowledged, w.clock = false, 0, 0
 	w.foreignEnds = make(map[int64]time.Time)
 	s.setForeign(w, nil)
-	for _, r := range sortedRuns(w.own) {
+	for _, r := range slices.Clone(w.own) {
 		s.over(r)
 	}
 	w.nextPoll = s.now
@@ -189,7 +186,7 @@
 		return
 	}
 	delete(s.runs, key)
-	delete(r.worker.own, key)
+	r.worker.own = slices.DeleteFunc(r.worker.own, func(o *run) bool { return o == r })
 	r.worker.ownUsed = r.worker.ownUsed.minus(r.size)
 	if t := r.task; t != nil {
 		t.run, t.state = nil, taskWaiting
@@ -209,15 +206,15 @@
 }
 
 // setForeign replaces the runs of other instances on a worker.
-func (s *Scheduler) setForeign(w *worker, rows map[runKey]ActiveRun) {
-	for key := range w.foreign {
-		s.unghost(key.task.Job)
+func (s *Scheduler) setForeign(w *worker, rows []ActiveRun) {
+	for i := range w.foreign {
+		s.unghost(w.foreign[i].Task.Job)
 	}
 	w.foreign = rows
 	w.foreignUsed = Size{}
-	for key := range rows {
-		s.ghosts[key.task.Job]++
-		w.foreignUsed.Cores += s.foreignCores(rows[key])
+	for i := range rows {
+		s.ghosts[rows[i].Task.Job]++
+		w.foreignUsed.Cores += s.foreignCores(rows[i])
 	}
 	s.countOrphans(w)
 }
@@ -237,8 +234,8 @@
 
 func (s *Scheduler) countOrphans(w *worker) {
 	w.orphans = 0
-	for key := range w.foreign {
-		if !s.heardTag(key.run.Tag()) {
+	for i := range w.foreign {
+		if !s.heardTag(w.foreign[i].Run.Tag()) {
 			w.orphans++
 		}
 	}
@@ -263,32 +260,3 @@
 		s.setAside(w, "runs fail")
 	}
 }
-
-func sortedRuns(runs map[runKey]*run) []*run {
-	out := make([]*run, 0, len(runs))
-	for _, r := range runs {
-		out = append(out, r)
-	}
-	slices.SortFunc(out, func(a, b *run) int { return compareRuns(a, b) })
-	return out
-}
-
-func compareRuns(a, b *run) int {
-	switch {
-	case a.number != b.number && a.number < b.number, a.number == b.number && lessTask(a.name, b.name):
-		return -1
-	case a.number == b.number && a.name == b.name:
-		return 0
-	}
-	return 1
-}
-
-func lessTask(a, b namer.RunningTask) bool {
-	if a.Job != b.Job {
-		return a.Job < b.Job
-	}
-	if a.Step != b.Step {
-		return a.Step < b.Step
-	}
-	return a.Index < b.Index
-}
--- a/internal/edge/driver/log.go
+++ b/internal/edge/driver/log.go
@@ -47,6 +47,9 @@
 	if a.Age != 0 {
 		l = l.Float64("age_ms", millis(a.Age))
 	}
+	if a.Task != "" && a.Worker != "" {
+		l = l.Int("free", int(a.Free)).Int("foreign", a.Foreign)
+	}
 	if a.Predicted != 0 {
 		l = l.Float64("predicted_ms", millis(a.Predicted))
 	}
