scheduler: homes keep the asks of peers until they have room

Ruled out: asking one home and being turned down (the tries run out of time). Change: a home keeps asks and serves them with its own tasks by one order: begun jobs first, then the kind that has had least, late ones last. A task that no home has room for asks three; what is not needed is withdrawn.

--- a/internal/core/scheduler/admission.go
+++ b/internal/core/scheduler/admission.go
@@ -157,9 +157,7 @@
 		if t.run != nil {
 			s.disown(t.run)
 		}
-		if t.state == taskAsking {
-			t.state = taskWaiting
-		}
+		s.withdraw(t)
 	}
 	s.open = slices.DeleteFunc(s.open, func(o *job) bool { return o == j })
 	s.changed = true
--- a/internal/core/scheduler/job.go
+++ b/internal/core/scheduler/job.go
@@ -66,8 +66,6 @@
 const (
 	// taskWaiting has no run.
 	taskWaiting taskState = iota
-	// taskAsking has asked a home for a place.
-	taskAsking
 	// taskStarting has sent a start that is not answered yet.
 	taskStarting
 	// taskRunning has a run that the worker has confirmed.
@@ -83,10 +81,15 @@
 	step *StepSpec
 	// state is taskStarting or taskRunning exactly where run is not nil.
 	state taskState
-	// asked, askedRun and askedAt are set while state is taskAsking.
-	asked    *peer
+	// asked are the homes that have been asked for a place; the run is to start
+	// under askedRun there.
+	asked    []*peer
 	askedRun namer.Run
 	askedAt  time.Time
+	// askedAs is the class that they were told.
+	askedAs wantClass
+	// askedOne is set while one home that says it has room may answer.
+	askedOne bool
 	run      *run
 	failures int
 }
@@ -144,8 +147,7 @@
 	// touched is set once a start of any of its tasks has been sent that may
 	// have taken effect.
 	touched bool
-	// charged is set once its kind has been charged for the job, which is when
-	// the first of its tasks has found room.
+	// charged is set once the first of its tasks has found room.
 	charged bool
 	// takenOver counts the runs that another instance has stopped.
 	takenOver int
@@ -157,11 +159,6 @@
 	return j.touched || slices.ContainsFunc(j.tasks, func(t *task) bool { return t.state == taskStarting })
 }
 
-// placing reports whether a task has found room, or may have.
-func (j *job) placing() bool {
-	return slices.ContainsFunc(j.tasks, func(t *task) bool { return t.state != taskWaiting })
-}
-
 func (j *job) waitingTasks() int {
 	n := 0
 	for _, t := range j.tasks {
--- a/internal/core/scheduler/kind.go
+++ b/internal/core/scheduler/kind.go
@@ -9,14 +9,14 @@
 // kind is what is learned of, and granted to, the jobs of one route.
 //
 // The order between kinds is start-time fair queueing: each has a virtual
-// start time that advances by the work of each job that begins.
+// start time that advances by the work of each task that gets room at this home.
 type kind struct {
 	name namer.Kind
 	// ratio is the smoothed run time over the declared one.
 	ratio float64
 	// cores is the smoothed declared size of tasks.
 	cores float64
-	// start is the virtual start time of the kind's next job, in core-seconds.
+	// start is the virtual start time of the kind's next task, in core-seconds.
 	start float64
 }
 
@@ -54,19 +54,14 @@
 	return time.Duration(k.ratio * float64(t.Estimate))
 }
 
-// begin charges a kind for a job that begins.
-func (s *Scheduler) begin(j *job) {
-	j.charged = true
-	k := s.kind(j.Kind)
+// charge charges a kind for a task that gets room.
+func (s *Scheduler) charge(w *want) {
+	k := w.kind
 	if k.start < s.virtual {
 		k.start = s.virtual
 	}
 	s.virtual = k.start
-	for i := range j.Steps {
-		st := &j.Steps[i]
-		cores := float64(st.Size.Cores) / milliPerCore
-		k.start += cores * float64(st.Count) * k.predict(st).Seconds()
-	}
+	k.start += w.cost
 }
 
 const milliPerCore = 1000.0
--- a/internal/core/scheduler/peer.go
+++ b/internal/core/scheduler/peer.go
@@ -1,9 +1,13 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/heatherslip/heatherslip/internal/wire/eventer"
 	"github.com/heatherslip/heatherslip/internal/wire/namer"
 )
@@ -39,9 +43,25 @@
 	Service  namer.Service     `cbor:"3,keyasint"`
 	Size     Size              `cbor:"4,keyasint"`
 	Requires string            `cbor:"5,keyasint,omitempty"`
+	Kind     namer.Kind        `cbor:"6,keyasint"`
+	Class    wantClass         `cbor:"7,keyasint"`
+	// Predicted is the expected run time, Patience how long the ask is good.
+	Predicted time.Duration `cbor:"8,keyasint"`
+	Patience  time.Duration `cbor:"9,keyasint"`
+}
+
+// pendingAsk is a peer's ask that waits for room.
+type pendingAsk struct {
+	Ask
+	peer  *peer
+	step  StepSpec
+	until time.Time
+	// granted is set once it has a place, told once the peer knows that it has
+	// to wait for one.
+	granted, told bool
 }
 
-// Grant answers an Ask. Worker is empty where the home has no place.
+// Grant gives a place for an Ask. Worker is empty where the ask has to wait.
 type Grant struct {
 	Task   namer.RunningTask `cbor:"1,keyasint"`
 	Run    namer.Run         `cbor:"2,keyasint"`
@@ -50,7 +70,8 @@
 	Clock namer.WorkerMillis `cbor:"4,keyasint,omitempty"`
 }
 
-// Result tells a home what became of a place that it gave.
+// Result tells a home what became of a place that it gave, or that an ask is
+// withdrawn.
 type Result struct {
 	RunName
 	Taken bool `cbor:"4,keyasint"`
@@ -78,11 +99,13 @@
 }
 
 const (
-	// askTimeout is how long a home may take to answer; a round trip takes 2 ms
-	// between domains.
-	askTimeout = 25 * time.Millisecond
-	// askPause is how long a home that did not answer is asked no more.
-	askPause = 150 * time.Millisecond
+	// askPatience is how long a home that says it has room may take to answer;
+	// a round trip takes 2 ms between domains.
+	askPatience = 10 * time.Millisecond
+	// askWidth is how many homes are asked at once where none says that it has
+	// room: with one, a task waits for the wrong home too often, and each more
+	// costs places that are given in vain.
+	askWidth = 3
 	// placeKept is how long a place is kept for the word of a start's result.
 	placeKept = 150 * time.Millisecond
 	// homeSilence is how long a home may be silent before an instance polls the
@@ -101,10 +124,8 @@
 	waiting int
 	// slots is the number of usual tasks that the peer says it has places for,
 	// less those asked for since.
-	slots map[namer.Service]int
-	// mutedUntil is until when the peer is not asked.
-	mutedUntil time.Time
-	letter     Letter
+	slots  map[namer.Service]int
+	letter Letter
 }
 
 // place is room that a home keeps for a peer's start.
@@ -206,32 +227,83 @@
 	return out
 }
 
-// ask asks the home with the most places for one. It reports whether there was
-// one to ask.
-func (s *Scheduler) ask(t *task) bool {
+// askHomes asks other homes for the tasks of this instance that wait.
+func (s *Scheduler) askHomes() {
+	if len(s.alive) == 0 {
+		return
+	}
+	for _, j := range s.open {
+		if s.ghosts[j.Name] > 0 {
+			continue
+		}
+		class, by := s.urgency(j)
+		for _, t := range j.tasks {
+			if t.state == taskWaiting && j.ready(t) {
+				s.askFor(t, class, by)
+			}
+		}
+	}
+}
+
+// askFor asks homes for a place: first one that says it has room, and others
+// where it turns out to have none.
+func (s *Scheduler) askFor(t *task, class wantClass, by time.Time) {
+	if len(t.asked) > 0 && class != t.askedAs {
+		s.sendAsks(t, t.asked, class, by)
+	}
+	t.askedAs = class
+	if t.askedOne && s.now.Sub(t.askedAt) < askPatience {
+		return
+	}
+	homes := s.homesToAsk(t)
+	if len(homes) == 0 {
+		return
+	}
+	if t.askedRun == 0 {
+		s.runCount++
+		t.askedRun = namer.NewRun(s.runCount, s.Tag)
+		s.asking[t.askedRun] = t
+	}
+	t.asked = append(t.asked, homes...)
+	t.askedAt = s.now
+	s.sendAsks(t, homes, class, by)
+}
+
+func (s *Scheduler) sendAsks(t *task, homes []*peer, class wantClass, by time.Time) {
+	a := Ask{
+		Task: t.name, Run: t.askedRun, Service: t.job.Service, Size: t.step.Size, Requires: t.step.Requires,
+		Kind: t.job.Kind, Class: class, Predicted: s.kind(t.job.Kind).predict(t.step), Patience: by.Sub(s.now),
+	}
+	for _, p := range homes {
+		p.letter.Asks = append(p.letter.Asks, a)
+	}
+}
+
+// homesToAsk picks the home that says it has the most room of those not asked
+// yet, or some at random where none has any.
+func (s *Scheduler) homesToAsk(t *task) []*peer {
 	var best *peer
+	var serving []*peer
 	for _, p := range s.alive {
-		if p.slots[t.job.Service] <= 0 || s.now.Before(p.mutedUntil) || s.now.Sub(p.heard) > homeSilence {
+		slots, serves := p.slots[t.job.Service]
+		if !serves || s.now.Sub(p.heard) > homeSilence || slices.Contains(t.asked, p) {
 			continue
 		}
-		if best == nil || s.askBefore(p, best, t.job.Service) {
+		serving = append(serving, p)
+		if slots > 0 && (best == nil || s.askBefore(p, best, t.job.Service)) {
 			best = p
 		}
 	}
-	if best == nil {
-		return false
+	t.askedOne = best != nil
+	if best != nil {
+		best.slots[t.job.Service]--
+		return []*peer{best}
 	}
-	best.slots[t.job.Service]--
-	s.runCount++
-	t.state = taskAsking
-	t.asked = best
-	t.askedAt = s.now
-	t.askedRun = namer.NewRun(s.runCount, s.Tag)
-	s.asking = append(s.asking, t)
-	best.letter.Asks = append(best.letter.Asks, Ask{
-		Task: t.name, Run: t.askedRun, Service: t.job.Service, Size: t.step.Size, Requires: t.step.Requires,
-	})
-	return true
+	chance := func(p *peer) uint64 {
+		return xxhash.Sum64String(p.name + string(t.name.Job) + strconv.Itoa(t.name.Index))
+	}
+	slices.SortFunc(serving, func(a, b *peer) int { return cmp.Compare(chance(a), chance(b)) })
+	return serving[:max(0, min(askWidth-len(t.asked), len(serving)))]
 }
 
 func (s *Scheduler) askBefore(a, b *peer, service namer.Service) bool {
@@ -241,28 +313,13 @@
 	return a.slots[service] > b.slots[service]
 }
 
-// runAsks gives up the asks that were not answered.
-func (s *Scheduler) runAsks() {
-	if len(s.asking) == 0 {
-		return
+// withdraw takes back the asks for a task.
+func (s *Scheduler) withdraw(t *task) {
+	for _, p := range t.asked {
+		p.letter.Results = append(p.letter.Results, Result{RunName: RunName{Task: t.name, Run: t.askedRun}})
 	}
-	s.asking = slices.DeleteFunc(s.asking, func(t *task) bool {
-		if t.state != taskAsking {
-			return true
-		}
-		if s.now.Sub(t.askedAt) < askTimeout {
-			return false
-		}
-		t.asked.mutedUntil = s.now.Add(askPause)
-		s.askOver(t)
-		return true
-	})
-}
-
-func (s *Scheduler) askOver(t *task) {
-	t.state = taskWaiting
-	t.asked = nil
-	s.changed = true
+	delete(s.asking, t.askedRun)
+	t.asked, t.askedRun, t.askedOne = nil, 0, false
 }
 
 // told takes in a peer's letter.
@@ -294,51 +351,74 @@
 	}
 }
 
-// asked answers a peer that asks for a place.
+// asked takes a peer's ask into the wants of this home.
 func (s *Scheduler) asked(p *peer, a *Ask) {
-	g := Grant{Task: a.Task, Run: a.Run}
-	if w := s.placeFor(a); w != nil {
-		w.places = append(w.places, place{runKey{a.Task, a.Run}, a.Size, s.now.Add(placeKept)})
-		g.Worker, g.Clock = w.id, w.clockNow(s.now)
-	}
-	p.letter.Grants = append(p.letter.Grants, g)
+	s.dropAsk(runKey{a.Task, a.Run})
+	s.pending = append(s.pending, pendingAsk{
+		Ask: *a, peer: p, until: s.now.Add(a.Patience),
+		step: StepSpec{Size: a.Size, Requires: a.Requires, Estimate: a.Predicted},
+	})
+	s.changed = true
 }
 
-// placeFor picks a worker of this home for a peer's task, unless a task of its
-// own waits for room.
-func (s *Scheduler) placeFor(a *Ask) *worker {
-	if s.Waiting() > 0 {
-		return nil
+func (s *Scheduler) dropAsk(key runKey) {
+	s.pending = slices.DeleteFunc(s.pending, func(a pendingAsk) bool { return a.Task == key.task && a.Run == key.run })
+}
+
+// dropAsks forgets the asks that are over, and those of peers that are silent.
+func (s *Scheduler) dropAsks() {
+	s.pending = slices.DeleteFunc(s.pending, func(a pendingAsk) bool {
+		return a.granted || s.now.After(a.until) || s.now.Sub(a.peer.heard) > peerSilence
+	})
+}
+
+// grant gives a place to a peer.
+func (s *Scheduler) grant(a *pendingAsk, w *worker) {
+	w.places = append(w.places, place{runKey{a.Task, a.Run}, a.Size, s.now.Add(placeKept)})
+	a.granted = true
+	a.peer.letter.Grants = append(a.peer.letter.Grants, Grant{Task: a.Task, Run: a.Run, Worker: w.id, Clock: w.clockNow(s.now)})
+}
+
+// tellQueued tells the peers whose asks have found no room at once, so that
+// they ask elsewhere too.
+func (s *Scheduler) tellQueued() {
+	for i := range s.pending {
+		a := &s.pending[i]
+		if a.granted || a.told {
+			continue
+		}
+		a.told = true
+		a.peer.letter.Grants = append(a.peer.letter.Grants, Grant{Task: a.Task, Run: a.Run})
 	}
-	st := StepSpec{Size: a.Size, Requires: a.Requires}
-	return s.chooseHome(a.Service, &st, nil)
 }
 
 // granted starts a task at the place that a home has given.
 func (s *Scheduler) granted(p *peer, g *Grant) {
-	i := slices.IndexFunc(s.asking, func(t *task) bool { return t.name == g.Task && t.askedRun == g.Run })
+	t := s.asking[g.Run]
 	if g.Worker == "" {
-		p.slots = nil
+		s.queued(p, t)
+		return
 	}
 	w := s.workers[g.Worker]
-	if i < 0 || s.asking[i].state != taskAsking || w == nil || !w.listed || w.draining || s.ghosts[g.Task.Job] > 0 {
-		s.decline(p, g)
-		if i >= 0 && s.asking[i].state == taskAsking {
-			s.askOver(s.asking[i])
-		}
+	if t == nil || t.name != g.Task || t.state != taskWaiting || w == nil || !w.listed || w.draining || s.ghosts[g.Task.Job] > 0 {
+		p.letter.Results = append(p.letter.Results, Result{RunName: RunName{g.Worker, g.Task, g.Run}})
 		return
 	}
-	t := s.asking[i]
-	s.askOver(t)
+	t.asked = slices.DeleteFunc(t.asked, func(o *peer) bool { return o == p })
 	w.setClock(s.now, g.Clock)
 	s.startRun(t, w, g.Run)
 }
 
-// decline gives a place back that is of no use.
-func (s *Scheduler) decline(p *peer, g *Grant) {
-	if g.Worker != "" {
-		p.letter.Results = append(p.letter.Results, Result{RunName: RunName{g.Worker, g.Task, g.Run}})
+// queued notes that a home has no room now.
+func (s *Scheduler) queued(p *peer, t *task) {
+	if t == nil {
+		return
+	}
+	if p.slots[t.job.Service] > 0 {
+		p.slots[t.job.Service] = 0
 	}
+	t.askedOne = false
+	s.changed = true
 }
 
 // tellHome tells a worker's home what became of a start there.
@@ -350,11 +430,12 @@
 
 // resulted frees a place, or has the run take it.
 func (s *Scheduler) resulted(e *Result) {
+	key := runKey{e.Task, e.Run}
 	w := s.workers[e.Worker]
 	if w == nil {
+		s.dropAsk(key)
 		return
 	}
-	key := runKey{e.Task, e.Run}
 	i := slices.IndexFunc(w.places, func(p place) bool { return p.key == key })
 	size := Size{}
 	if i >= 0 {
--- a/internal/core/scheduler/place.go
+++ b/internal/core/scheduler/place.go
@@ -19,81 +19,123 @@
 	startTimeout = 30 * time.Millisecond
 )
 
-// runPlacement gives tasks to workers: first those of jobs that have begun,
-// then the first job of the kind that has had least.
+// want is a task that asks for room at this home: one of this instance's own,
+// or a peer's.
+type want struct {
+	service namer.Service
+	step    *StepSpec
+	kind    *kind
+	// cost is the work of the task in core-seconds.
+	cost  float64
+	class wantClass
+	// by is when the want is over, or the objective of a job that has begun.
+	by   time.Time
+	task *task
+	ask  *pendingAsk
+}
+
+// wantClass orders wants before all else: what has begun is finished first, as
+// long as it can be in time.
+type wantClass int
+
+const (
+	wantBegun wantClass = iota
+	wantNew
+	wantLate
+)
+
+// runPlacement gives room to the wants: first to those of jobs that have begun,
+// then to the kind that has had least, and last to what is late anyway. Tasks
+// of this instance that are left ask other homes.
 func (s *Scheduler) runPlacement() {
 	if !s.changed {
 		return
 	}
 	s.changed = false
+	s.dropAsks()
+	wants := s.wants()
+	if len(wants) == 0 {
+		return
+	}
 	p := placement{s: s, full: make(map[namer.Service]namer.MilliCores)}
-	for _, j := range s.begunJobs() {
-		p.job(j)
-	}
-	heads := s.heads()
-	for {
-		j := heads.pop(s)
-		if j == nil {
-			return
+	rest := make(map[*kind][]*want)
+	var late []*want
+	for i := range wants {
+		w := &wants[i]
+		switch w.class {
+		case wantBegun:
+			p.give(w)
+		case wantNew:
+			rest[w.kind] = append(rest[w.kind], w)
+		case wantLate:
+			late = append(late, w)
 		}
-		p.job(j)
-		if j.placing() {
-			s.begin(j)
-			continue
+	}
+	for w := s.nextWant(rest); w != nil; w = s.nextWant(rest) {
+		if !p.give(w) {
+			delete(rest, w.kind)
 		}
-		heads.block(j.Kind)
 	}
+	for _, w := range late {
+		p.give(w)
+	}
+	s.dropAsks()
+	s.tellQueued()
+	s.askHomes()
 }
 
-// begunJobs lists the jobs that have begun and have tasks waiting, the most urgent
-// first, those whose objective can't be met last.
-func (s *Scheduler) begunJobs() []*job {
-	var out []*job
+// wants lists all wants by urgency.
+func (s *Scheduler) wants() []want {
+	var out []want
 	for _, j := range s.open {
-		if j.charged && j.waitingTasks() > 0 {
-			out = append(out, j)
+		if s.ghosts[j.Name] > 0 {
+			continue
 		}
-	}
-	slices.SortStableFunc(out, func(a, b *job) int {
-		if la, lb := s.isLate(a), s.isLate(b); la != lb {
-			if lb {
-				return -1
+		k := s.kind(j.Kind)
+		class, by := s.urgency(j)
+		for _, t := range j.tasks {
+			if t.state == taskWaiting && j.ready(t) {
+				out = append(out, want{
+					service: j.Service, step: t.step, kind: k, cost: cost(t.step.Size, k.predict(t.step)),
+					class: class, by: by, task: t,
+				})
 			}
-			return 1
 		}
-		return a.objective.Compare(b.objective)
-	})
+	}
+	for i := range s.pending {
+		a := &s.pending[i]
+		out = append(out, want{
+			service: a.Service, step: &a.step, kind: s.kind(a.Kind), cost: cost(a.Size, a.step.Estimate),
+			class: a.Class, by: a.until, ask: a,
+		})
+	}
+	slices.SortStableFunc(out, func(a, b want) int { return a.by.Compare(b.by) })
 	return out
 }
 
+func (s *Scheduler) urgency(j *job) (wantClass, time.Time) {
+	switch {
+	case !j.charged:
+		return wantNew, j.giveUp
+	case s.isLate(j):
+		return wantLate, earlier(j.late, j.deadline)
+	default:
+		return wantBegun, j.objective
+	}
+}
+
 func (s *Scheduler) isLate(j *job) bool {
 	return s.now.Add(j.chain(s.kind(j.Kind).ratio)).After(j.objective)
 }
 
-// heads are the jobs that have not begun, by kind, the most urgent first.
-type heads map[namer.Kind][]*job
-
-func (s *Scheduler) heads() heads {
-	h := make(heads)
-	for _, j := range s.open {
-		if !j.charged && j.waitingTasks() > 0 {
-			h[j.Kind] = append(h[j.Kind], j)
-		}
-	}
-	for _, jobs := range h {
-		slices.SortStableFunc(jobs, func(a, b *job) int { return a.giveUp.Compare(b.giveUp) })
-	}
-	return h
+func cost(size Size, took time.Duration) float64 {
+	return float64(size.Cores) / milliPerCore * took.Seconds()
 }
 
-// pop takes the first job of the kind that has had least.
-func (h heads) pop(s *Scheduler) *job {
+// nextWant takes the first want of the kind that has had least.
+func (s *Scheduler) nextWant(rest map[*kind][]*want) *want {
 	var best *kind
-	for name, jobs := range h {
-		if len(jobs) == 0 {
-			continue
-		}
-		k := s.kind(name)
+	for k := range rest {
 		if best == nil || k.start < best.start || k.start == best.start && k.name < best.name {
 			best = k
 		}
@@ -101,14 +143,14 @@
 	if best == nil {
 		return nil
 	}
-	j := h[best.name][0]
-	h[best.name] = h[best.name][1:]
-	return j
+	w := rest[best][0]
+	rest[best] = rest[best][1:]
+	if len(rest[best]) == 0 {
+		delete(rest, best)
+	}
+	return w
 }
 
-// block leaves out a kind whose first job has found no room.
-func (h heads) block(k namer.Kind) { delete(h, k) }
-
 // placement is one round of the placement system.
 type placement struct {
 	s *Scheduler
@@ -116,50 +158,43 @@
 	full map[namer.Service]namer.MilliCores
 }
 
-// job places as many of a job's tasks as find room.
-func (p *placement) job(j *job) {
-	s := p.s
-	if s.ghosts[j.Name] > 0 {
-		return
+// give gives a want room on one of this home's workers, and reports whether it
+// could.
+func (p *placement) give(w *want) bool {
+	smallest, full := p.full[w.service]
+	if full && w.step.Size.Cores >= smallest {
+		return false
 	}
-	for _, t := range j.tasks {
-		if t.state != taskWaiting || !j.ready(t) {
-			continue
-		}
-		smallest, full := p.full[j.Service]
-		if full && t.step.Size.Cores >= smallest {
-			return
+	to := p.s.choose(w)
+	if to == nil {
+		if w.step.Requires == "" && w.step.MaxPerWorker == 0 {
+			p.full[w.service] = w.step.Size.Cores
 		}
-		w := s.choose(t)
-		if w == nil && s.ask(t) {
-			continue
-		}
-		if w == nil {
-			if t.step.Requires == "" && t.step.MaxPerWorker == 0 {
-				p.full[j.Service] = t.step.Size.Cores
-			}
-			return
-		}
-		s.start(t, w)
+		return false
+	}
+	p.s.charge(w)
+	if w.task != nil {
+		w.task.job.charged = true
+		p.s.start(w.task, to)
+		return true
 	}
+	p.s.grant(w.ask, to)
+	return true
 }
 
-// choose picks the worker for a task, or nil: of this instance's own workers
+// choose picks the worker for a want, or nil: of this instance's own workers
 // with room the tightest fit.
-func (s *Scheduler) choose(t *task) *worker {
-	return s.chooseHome(t.job.Service, t.step, t)
-}
-
-func (s *Scheduler) chooseHome(service namer.Service, st *StepSpec, of *task) *worker {
+func (s *Scheduler) choose(want *want) *worker {
+	st := want.step
 	var best *worker
 	for _, w := range s.sorted {
-		if w.home != nil || w.service != service || s.now.Before(w.fullUntil) || !st.Size.fits(w.room()) {
+		if w.home != nil || w.service != want.service || s.now.Before(w.fullUntil) || !st.Size.fits(w.room()) {
 			continue
 		}
 		if !s.usable(w) || !w.has(st.Requires) || w.probing() {
 			continue
 		}
-		if of != nil && st.MaxPerWorker > 0 && w.runsOf(of) >= st.MaxPerWorker {
+		if want.task != nil && st.MaxPerWorker > 0 && w.runsOf(want.task) >= st.MaxPerWorker {
 			continue
 		}
 		if best == nil || w.room().Cores < best.room().Cores {
@@ -193,6 +228,8 @@
 }
 
 func (s *Scheduler) startRun(t *task, w *worker, number namer.Run) {
+	s.withdraw(t)
+	t.job.charged = true
 	k := s.kind(t.job.Kind)
 	r := &run{
 		name: t.name, number: number, worker: w, size: t.step.Size,
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -52,8 +52,11 @@
 
 	// alive lists the peers that live by name, as of the last deal of homes.
 	alive []*peer
-	// asking are the tasks for which a home has been asked for a place.
-	asking []*task
+	// asking are the tasks for which homes have been asked for a place, by the
+	// run that is to start there.
+	asking map[namer.Run]*task
+	// pending are the peers' asks that have found no room here yet.
+	pending []pendingAsk
 
 	workers  map[namer.Worker]*worker
 	sorted   []*worker
@@ -101,6 +104,7 @@
 		peers:    make(map[string]*peer),
 		byTag:    make(map[namer.RunTag]*peer),
 		runs:     make(map[runKey]*run),
+		asking:   make(map[namer.Run]*task),
 		ghosts:   make(map[namer.JobName]int),
 		workers:  make(map[namer.Worker]*worker),
 		runCount: runCountAt(wall),
@@ -127,7 +131,6 @@
 		s.take(e)
 	}
 	s.runDeadlines()
-	s.runAsks()
 	s.runPlacement()
 	s.runStops()
 	s.runPolls()
