scheduler: runs are moved by what their siblings take

Jobs were refused at a quarter of an objective that is as uncertain. Change: a run is moved where it stands still, or takes 2.5 times what the other tasks of its step take on other workers; an ended task corrects its job's objective; the wait for a first start is a fifth of the objective.

--- a/internal/core/scheduler/admission.go
+++ b/internal/core/scheduler/admission.go
@@ -11,7 +11,7 @@
 const (
 	// waitShare is the part of its objective that a job may wait for its first
 	// start. What is left must hold the work itself and its uncertainty.
-	waitShare = 0.25
+	waitShare = 0.2
 	// lateFactor times the objective is how long an answer is worth having.
 	lateFactor = 3.0
 	// firstLooks is how long an instance that has just started has to hear its
@@ -28,6 +28,7 @@
 		return
 	}
 	j := &job{JobSpec: e.Job, calls: []namer.Call{e.Call}, arrived: s.now}
+	j.Steps = slices.Clone(j.Steps)
 	k := s.kind(j.Kind)
 	target := time.Duration(j.Stretch*float64(j.chain(k.ratio))) + j.Target
 	j.objective = s.now.Add(target)
--- a/internal/core/scheduler/job.go
+++ b/internal/core/scheduler/job.go
@@ -59,6 +59,10 @@
 	// MaxPerWorker is how many of the step's tasks one worker may run; zero
 	// is any number.
 	MaxPerWorker int
+
+	// shortest and longest are the run times of tasks that have ended; zero
+	// until one has.
+	shortest, longest time.Duration
 }
 
 type taskState int
@@ -181,6 +185,23 @@
 	return true
 }
 
+// learn takes in the run time of a task that has ended: what the whole step
+// takes is told better by it than by the declaration.
+func (j *job) learn(st *StepSpec, took time.Duration) {
+	if st.shortest == 0 || took < st.shortest {
+		st.shortest = took
+	}
+	st.longest = max(st.longest, took)
+	if len(j.Steps) > 1 {
+		return
+	}
+	target := time.Duration(j.Stretch*float64(st.longest)) + j.Target
+	if at := j.arrived.Add(target); at.After(j.objective) {
+		j.objective = at
+		j.late = j.arrived.Add(time.Duration(lateFactor * float64(target)))
+	}
+}
+
 // chain returns the longest chain of work by the estimates, each scaled.
 func (j *job) chain(ratio float64) time.Duration {
 	longest := time.Duration(0)
--- a/internal/core/scheduler/place.go
+++ b/internal/core/scheduler/place.go
@@ -53,10 +53,7 @@
 	}
 	s.changed = false
 	s.dropAsks()
-	wants := s.wants()
-	if len(wants) == 0 {
-		return
-	}
+	wants := s.wants(s.largestRoom())
 	p := placement{s: s, full: make(map[namer.Service]namer.MilliCores)}
 	rest := make(map[*kind][]*want)
 	var late []*want
@@ -84,8 +81,19 @@
 	s.askHomes()
 }
 
-// wants lists all wants by urgency.
-func (s *Scheduler) wants() []want {
+// largestRoom returns the most cores that one of this home's workers has free.
+func (s *Scheduler) largestRoom() namer.MilliCores {
+	largest := namer.MilliCores(-1)
+	for _, w := range s.sorted {
+		if w.home == nil && !s.now.Before(w.fullUntil) && s.usable(w) {
+			largest = max(largest, w.room().Cores)
+		}
+	}
+	return largest
+}
+
+// wants lists the wants that need no more than the cores given, by urgency.
+func (s *Scheduler) wants(room namer.MilliCores) []want {
 	var out []want
 	for _, j := range s.open {
 		if s.ghosts[j.Name] > 0 {
@@ -94,7 +102,7 @@
 		k := s.kind(j.Kind)
 		class, by := s.urgency(j)
 		for _, t := range j.tasks {
-			if t.state == taskWaiting && j.ready(t) {
+			if t.state == taskWaiting && t.step.Size.Cores <= room && j.ready(t) {
 				out = append(out, want{
 					service: j.Service, step: t.step, kind: k, cost: cost(t.step.Size, k.predict(t.step)),
 					class: class, by: by, task: t,
@@ -104,6 +112,9 @@
 	}
 	for i := range s.pending {
 		a := &s.pending[i]
+		if a.Size.Cores > room {
+			continue
+		}
 		out = append(out, want{
 			service: a.Service, step: &a.step, kind: s.kind(a.Kind), cost: cost(a.Size, a.step.Estimate),
 			class: a.Class, by: a.until, ask: a,
--- a/internal/core/scheduler/poll.go
+++ b/internal/core/scheduler/poll.go
@@ -222,6 +222,7 @@
 	case EndDone:
 		if confirmed {
 			s.kind(t.job.Kind).learn(t.step.Estimate, took)
+			t.job.learn(t.step, took)
 		}
 		s.taskDone(t)
 	case EndFailed:
--- a/internal/core/scheduler/run.go
+++ b/internal/core/scheduler/run.go
@@ -168,10 +168,11 @@
 }
 
 const (
-	// slowFactor times its prediction is what a run may take before its worker
-	// counts as slow; declared run times are off by less.
+	// slowFactor times what the other tasks of its step take is what makes a
+	// run slow; declared run times alone are off by as much for whole jobs.
 	slowFactor = 2.5
-	// minProgress is the progress in percent from which an end is projected.
+	// minProgress is the progress in percent below which a run that should be
+	// half through stands still.
 	minProgress = 4
 	// minLook is the shortest run time from which progress tells anything.
 	minLook = 40 * time.Millisecond
@@ -179,28 +180,56 @@
 	moveMargin = 5 * time.Millisecond
 )
 
-// straggles reports whether a run will end too late for the job's objective
-// while another one, begun now, would not.
+// straggles reports whether a run stands still, or is much slower than the
+// others of its step, while another one, begun now, would end in time.
 func (s *Scheduler) straggles(t *task) bool {
 	r := t.run
-	k := s.kind(t.job.Kind)
 	elapsed := s.now.Sub(r.begun)
 	if r.stopping || elapsed < minLook || elapsed < r.predicted/2 {
 		return false
 	}
-	return r.projected(elapsed) > time.Duration(slowFactor*float64(r.predicted)) &&
-		s.now.Add(k.predict(t.step)+moveMargin).Before(t.job.objective)
+	usual := s.kind(t.job.Kind).predict(t.step)
+	if !r.standsStill() {
+		others, known := t.job.othersTake(t)
+		own, told := r.projected()
+		if !known || !told || float64(own) < slowFactor*float64(others) {
+			return false
+		}
+		usual = others
+	}
+	return s.now.Add(usual + moveMargin).Before(t.job.objective)
+}
+
+// standsStill reports whether a run has made no progress in a time in which it
+// should be half through.
+func (r *run) standsStill() bool {
+	seen := r.percentAt.Sub(r.begun)
+	return !r.percentAt.IsZero() && seen >= minLook && seen >= r.predicted/2 && r.percent < minProgress
 }
 
-// projected returns the run time that a run's progress points to.
-func (r *run) projected(elapsed time.Duration) time.Duration {
-	if r.percentAt.IsZero() || r.percentAt.Sub(r.begun) < minLook {
-		return elapsed
+// projected returns the run time that a run's progress points to, and whether
+// there is any.
+func (r *run) projected() (time.Duration, bool) {
+	seen := r.percentAt.Sub(r.begun)
+	if r.percentAt.IsZero() || seen < minLook || r.percent < minProgress {
+		return 0, false
 	}
-	if r.percent < minProgress {
-		return time.Duration(slowFactor*float64(r.predicted)) + elapsed
+	return seen * 100 / time.Duration(r.percent), true
+}
+
+// othersTake returns the shortest run time of the other tasks of a step, ended
+// or projected, on other workers.
+func (j *job) othersTake(t *task) (time.Duration, bool) {
+	best, known := t.step.shortest, t.step.shortest > 0
+	for _, o := range j.tasks {
+		if o == t || o.step != t.step || o.run == nil || o.run.worker == t.run.worker {
+			continue
+		}
+		if took, told := o.run.projected(); told && (!known || took < best) {
+			best, known = took, true
+		}
 	}
-	return r.percentAt.Sub(r.begun) * 100 / time.Duration(r.percent)
+	return best, known
 }
 
 func (s *Scheduler) move(t *task) {
--- a/internal/core/scheduler/world_test.go
+++ b/internal/core/scheduler/world_test.go
@@ -18,7 +18,9 @@
 	now       time.Duration
 	seq       int
 	todo      agenda
-	rng       *rand.Rand
+	// rng draws what happens to messages, load what clients send, so that two
+	// ways of serving get the same jobs.
+	rng, load *rand.Rand
 	workers   []*simWorker
 	byID      map[namer.Worker]*simWorker
 	instances []*simInstance
@@ -79,7 +81,7 @@
 
 func newWorld(seed uint64, size siteSize) *world {
 	w := &world{
-		rng: rand.New(rand.NewPCG(seed, seed+1)), jobs: make(map[namer.JobName]*simJob), byID: make(map[namer.Worker]*simWorker),
+		rng: rand.New(rand.NewPCG(seed, seed+1)), load: rand.New(rand.NewPCG(seed, seed+2)), jobs: make(map[namer.JobName]*simJob), byID: make(map[namer.Worker]*simWorker),
 		delay: 100 * time.Microsecond, crossDelay: 900 * time.Microsecond,
 	}
 	for d := range size.domains {
@@ -588,21 +590,21 @@
 // comes.
 func (w *world) submit(k kindOfJob, at *simInstance) *simJob {
 	name := namer.JobName(fmt.Sprintf("%016x", len(w.order)+1))
-	cores := namer.MilliCores(5500 + w.rng.IntN(2600))
-	work := time.Duration(float64(k.work) * (0.7 + 0.6*w.rng.Float64()))
+	cores := namer.MilliCores(5500 + w.load.IntN(2600))
+	work := time.Duration(float64(k.work) * (0.7 + 0.6*w.load.Float64()))
 	j := &simJob{
 		spec: JobSpec{
 			Name: name, Kind: k.kind, Service: "s", MaxAttempts: k.attempts, Stretch: 1.6, Target: 60 * time.Millisecond,
 			Patience: 1500 * time.Millisecond,
 			Steps: []StepSpec{{
 				Count: k.tasks, Size: Size{Cores: cores, Memory: 64},
-				Estimate: time.Duration(float64(work) * (0.8 + 0.4*w.rng.Float64())),
+				Estimate: time.Duration(float64(work) * (0.8 + 0.4*w.load.Float64())),
 			}},
 		},
 		work: work, sent: w.now, running: make(map[int]int), done: make(map[int]bool), outcome: brokenConnection,
 	}
 	for range k.tasks {
-		j.sizes = append(j.sizes, namer.MilliCores(float64(cores)*(0.98+0.04*w.rng.Float64())))
+		j.sizes = append(j.sizes, namer.MilliCores(float64(cores)*(0.98+0.04*w.load.Float64())))
 	}
 	w.jobs[name] = j
 	w.order = append(w.order, j)
@@ -720,14 +722,14 @@
 		if w.now >= until {
 			return
 		}
-		n := w.rng.IntN(total)
+		n := w.load.IntN(total)
 		for i, weight := range weights {
 			if n -= weight; n < 0 {
 				w.submit(k, w.instances[i])
 				break
 			}
 		}
-		w.after(time.Duration(w.rng.ExpFloat64()/perSecond*float64(time.Second)), next)
+		w.after(time.Duration(w.load.ExpFloat64()/perSecond*float64(time.Second)), next)
 	}
 	w.at(from, next)
 }
