scheduler: what a step looks at no longer grows with the fleet

Change: steps look after the workers that the instance is the home of, and those where it has runs; homes are dealt when instances or workers change; hellos wait for the next step and slow down with the number of instances.

--- a/internal/core/scheduler/peer.go
+++ b/internal/core/scheduler/peer.go
@@ -110,14 +110,16 @@
 	placeKept = 150 * time.Millisecond
 	// homeSilence is how long a home may be silent before an instance polls the
 	// workers where it has runs itself.
-	homeSilence = 180 * time.Millisecond
+	homeSilence = 250 * time.Millisecond
 	// progressEvery is the pace of notices of a worker's progress.
-	progressEvery = 60 * time.Millisecond
+	progressEvery = 100 * time.Millisecond
 )
 
 // peer is a row of the table of instances.
 type peer struct {
-	name    string
+	name string
+	// key is the hash of the name.
+	key     uint64
 	domain  namer.Domain
 	tag     namer.RunTag
 	heard   time.Time
@@ -138,7 +140,7 @@
 func (s *Scheduler) peerHeard(e PeerHeard) {
 	p := s.peers[e.Name]
 	if p == nil {
-		p = &peer{name: e.Name}
+		p = &peer{name: e.Name, key: xxhash.Sum64String(e.Name)}
 		s.peers[e.Name] = p
 		s.lastRank = time.Time{}
 	}
@@ -193,8 +195,8 @@
 	if usual == 0 {
 		return out
 	}
-	for _, w := range s.sorted {
-		if w.home == nil && s.usable(w) && !s.now.Before(w.fullUntil) {
+	for _, w := range s.homes {
+		if s.usable(w) && !s.now.Before(w.fullUntil) {
 			out[w.service] += max(0, int(w.room().Cores/usual))
 		}
 	}
@@ -550,34 +552,68 @@
 }
 
 // dealHomes gives each worker its home: of the living instances of its domain,
-// or of all where there is none, the first by rendezvous hash.
+// or of all where there is none, the first by rendezvous hash. Nothing changes
+// while the same instances live and the same workers are listed.
 func (s *Scheduler) dealHomes() {
-	s.alive = s.sortedPeers()
+	alive := s.sortedPeers()
+	if slices.Equal(alive, s.alive) && !s.relisted {
+		return
+	}
+	s.alive, s.relisted = alive, false
+	s.homes = s.homes[:0]
 	for _, w := range s.sorted {
-		home := s.homeOf(w)
-		if home == w.home {
-			continue
-		}
-		w.home = home
-		w.places = nil
-		if home != nil {
-			s.setForeign(w, nil)
-			continue
+		s.setHome(w, s.homeOf(w))
+		if w.home == nil {
+			s.homes = append(s.homes, w)
 		}
-		w.looked = false
-		w.nextPoll = s.now
-		s.do(Decision{Event: eventer.WorkerHome, Worker: w.id, Waiting: len(s.alive)})
+	}
+	s.changed = true
+}
+
+func (s *Scheduler) setHome(w *worker, home *peer) {
+	if home == w.home && w.dealt {
+		return
+	}
+	w.home, w.dealt = home, true
+	w.places = nil
+	if home != nil {
+		s.setForeign(w, nil)
+		s.visit(w)
+		return
+	}
+	w.looked = false
+	w.nextPoll = s.now
+	s.do(Decision{Event: eventer.WorkerHome, Worker: w.id, Waiting: len(s.alive)})
+}
+
+// visit notes that this instance has runs on a worker that it is not the home
+// of.
+func (s *Scheduler) visit(w *worker) {
+	if w.home != nil && len(w.own) > 0 && !slices.Contains(s.visited, w) {
+		s.visited = append(s.visited, w)
+	}
+}
+
+// eachNear calls a function for each worker that this instance has to look
+// after: those that it is the home of, and those where it has runs.
+func (s *Scheduler) eachNear(do func(*worker)) {
+	for _, w := range s.homes {
+		do(w)
+	}
+	s.visited = slices.DeleteFunc(s.visited, func(w *worker) bool { return w.home == nil || len(w.own) == 0 && !w.polling })
+	for _, w := range s.visited {
+		do(w)
 	}
 }
 
 // homeOf returns the peer that is a worker's home, or nil for this instance.
 func (s *Scheduler) homeOf(w *worker) *peer {
 	var best *peer
-	bestRight := right(s.Name, w.id)
+	bestRight := right(s.key, w.key)
 	bestIn := s.Domain == w.domain
 	for _, p := range s.alive {
 		in := p.domain == w.domain
-		r := right(p.name, w.id)
+		r := right(p.key, w.key)
 		if in == bestIn && r > bestRight || in && !bestIn {
 			best, bestRight, bestIn = p, r, in
 		}
--- a/internal/core/scheduler/place.go
+++ b/internal/core/scheduler/place.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/heatherslip/heatherslip/internal/wire/eventer"
 	"github.com/heatherslip/heatherslip/internal/wire/namer"
 )
@@ -84,8 +82,8 @@
 // largestRoom returns the most cores that one of this home's workers has free.
 func (s *Scheduler) largestRoom() namer.MilliCores {
 	largest := namer.MilliCores(-1)
-	for _, w := range s.sorted {
-		if w.home == nil && !s.now.Before(w.fullUntil) && s.usable(w) {
+	for _, w := range s.homes {
+		if !s.now.Before(w.fullUntil) && s.usable(w) {
 			largest = max(largest, w.room().Cores)
 		}
 	}
@@ -198,8 +196,8 @@
 func (s *Scheduler) choose(want *want) *worker {
 	st := want.step
 	var best *worker
-	for _, w := range s.sorted {
-		if w.home != nil || w.service != want.service || s.now.Before(w.fullUntil) || !st.Size.fits(w.room()) {
+	for _, w := range s.homes {
+		if w.service != want.service || s.now.Before(w.fullUntil) || !st.Size.fits(w.room()) {
 			continue
 		}
 		if !s.usable(w) || !w.has(st.Requires) || w.probing() {
@@ -228,8 +226,13 @@
 	return n
 }
 
-func right(instance string, w namer.Worker) uint64 {
-	return xxhash.Sum64String(instance + "\x00" + string(w))
+// right is the right of an instance to a worker, by the hashes of their names;
+// the finalizer of SplitMix64 mixes the two.
+func right(instance, worker uint64) uint64 {
+	x := instance ^ (worker * 0x9e3779b97f4a7c15)
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
 }
 
 // start sends a task to a worker.
@@ -249,6 +252,7 @@
 	t.run, t.state = r, taskStarting
 	s.runs[runKey{r.name, r.number}] = r
 	w.own = append(w.own, r)
+	s.visit(w)
 	w.ownUsed = w.ownUsed.plus(r.size)
 	s.do(Start{
 		Worker: w.id, Task: r.name, Run: r.number, Payload: t.job.Payload,
--- a/internal/core/scheduler/poll.go
+++ b/internal/core/scheduler/poll.go
@@ -27,19 +27,19 @@
 
 // runPolls sends the polls that are due.
 func (s *Scheduler) runPolls() {
-	for _, w := range s.sorted {
+	s.eachNear(func(w *worker) {
 		if w.polling || s.now.Before(w.nextPoll) {
-			continue
+			return
 		}
 		if !s.pollsWorker(w) {
 			if len(w.foreign) > 0 {
 				s.setForeign(w, nil)
 			}
-			continue
+			return
 		}
 		w.dropPlaces(s.now)
 		s.poll(w)
-	}
+	})
 }
 
 func (s *Scheduler) poll(w *worker) {
--- a/internal/core/scheduler/run.go
+++ b/internal/core/scheduler/run.go
@@ -102,7 +102,7 @@
 
 // runStops sends the stops that are due.
 func (s *Scheduler) runStops() {
-	for _, w := range s.sorted {
+	s.eachNear(func(w *worker) {
 		for _, r := range w.own {
 			if !r.stopping || r.stopSent || s.now.Before(r.stopAt) {
 				continue
@@ -110,7 +110,7 @@
 			r.stopSent = true
 			s.do(Stop{Worker: w.id, Task: r.name, Run: r.number})
 		}
-	}
+	})
 }
 
 // stopAnswered takes in a worker's word on a stop.
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -9,9 +9,12 @@
 package scheduler
 
 import (
+	"slices"
 	"sort"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/heatherslip/heatherslip/internal/wire/eventer"
 	"github.com/heatherslip/heatherslip/internal/wire/namer"
 )
@@ -58,8 +61,15 @@
 	// pending are the peers' asks that have found no room here yet.
 	pending []pendingAsk
 
-	workers  map[namer.Worker]*worker
-	sorted   []*worker
+	workers map[namer.Worker]*worker
+	sorted  []*worker
+	// homes are the workers that this instance is the home of, visited others
+	// where it has runs.
+	homes, visited []*worker
+	// relisted is set where homes have to be dealt again.
+	relisted bool
+	// key is the hash of the name.
+	key      uint64
 	draining bool
 	// changed is set where a task may find room that found none before.
 	changed bool
@@ -96,6 +106,7 @@
 func New(s Settings, now time.Time, wall namer.UnixMillis) *Scheduler {
 	return &Scheduler{
 		Settings: s,
+		key:      xxhash.Sum64String(s.Name),
 		now:      now,
 		started:  now,
 		jobs:     make(map[namer.Call]*job),
@@ -194,6 +205,24 @@
 // Retag gives this instance another tag, for runs started from now on.
 func (s *Scheduler) Retag(tag namer.RunTag) { s.Tag = tag }
 
+// Usable returns the number of workers that this instance is the home of and
+// that may get a start.
+func (s *Scheduler) Usable() int {
+	n := 0
+	for _, w := range s.homes {
+		if s.usable(w) {
+			n++
+		}
+	}
+	return n
+}
+
+// Reaches reports whether any worker can be reached, by this instance or
+// through a peer.
+func (s *Scheduler) Reaches() bool {
+	return s.Usable() > 0 || slices.ContainsFunc(s.alive, func(p *peer) bool { return len(p.slots) > 0 })
+}
+
 // WorkerState is a worker as this instance sees it.
 type WorkerState struct {
 	ID       namer.Worker
--- a/internal/core/scheduler/worker.go
+++ b/internal/core/scheduler/worker.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/heatherslip/heatherslip/internal/wire/eventer"
 	"github.com/heatherslip/heatherslip/internal/wire/namer"
 )
@@ -59,7 +61,11 @@
 	nextPoll time.Time
 	lost     int
 	// home is the peer that polls the worker; nil where this instance does.
-	home *peer
+	// It means nothing until dealt is set.
+	home  *peer
+	dealt bool
+	// key is the hash of the id.
+	key uint64
 }
 
 // foreignRun is a run of another instance, with the size that it asked for;
@@ -133,8 +139,8 @@
 // anyUsable reports whether a worker of a service can be reached by this
 // instance or through a peer.
 func (s *Scheduler) anyUsable(service namer.Service) bool {
-	for _, w := range s.sorted {
-		if w.home == nil && w.service == service && s.usable(w) {
+	for _, w := range s.homes {
+		if w.service == service && s.usable(w) {
 			return true
 		}
 	}
@@ -152,6 +158,7 @@
 		switch {
 		case l.Gone && w != nil:
 			w.listed = false
+			s.relisted = true
 			s.do(Decision{Event: eventer.WorkerGone, Worker: w.id})
 			s.dropIfGone(w)
 		case l.Gone:
@@ -162,12 +169,14 @@
 		}
 	}
 	s.changed = true
+	s.lastRank = time.Time{}
 }
 
 func (s *Scheduler) addWorker(l *ListedWorker) {
-	w := &worker{id: l.ID, foreignEnds: make(map[int64]time.Time), seenEnds: make(map[int64]bool)}
+	w := &worker{id: l.ID, key: xxhash.Sum64String(string(l.ID)), foreignEnds: make(map[int64]time.Time), seenEnds: make(map[int64]bool)}
 	s.workers[l.ID] = w
 	s.insert(w)
+	s.relisted = true
 	s.updateWorker(w, l)
 	s.do(Decision{Event: eventer.WorkerListed, Worker: w.id})
 }
@@ -209,6 +218,7 @@
 	s.setForeign(w, nil)
 	i := slices.Index(s.sorted, w)
 	s.sorted = slices.Delete(s.sorted, i, i+1)
+	s.relisted = true
 }
 
 // over notes that a run is neither there nor will be. A task that still wants
--- a/internal/core/scheduler/world_test.go
+++ b/internal/core/scheduler/world_test.go
@@ -15,9 +15,9 @@
 // their leases, instances that run a Scheduler each, and clients that send a
 // job again when they hear nothing. It checks what must hold at all times.
 type world struct {
-	now       time.Duration
-	seq       int
-	todo      agenda
+	now  time.Duration
+	seq  int
+	todo agenda
 	// rng draws what happens to messages, load what clients send, so that two
 	// ways of serving get the same jobs.
 	rng, load *rand.Rand
--- a/internal/edge/driver/driver.go
+++ b/internal/edge/driver/driver.go
@@ -23,6 +23,8 @@
 	// busyTick and idleTick are the paces of steps without events.
 	busyTick = 10 * time.Millisecond
 	idleTick = 50 * time.Millisecond
+	// noteEvery is the pace of summaries: peers hear of one each 50 ms.
+	noteEvery = 25 * time.Millisecond
 	// jumpLimit is the difference between two steps that is logged as a pause.
 	jumpLimit = 500 * time.Millisecond
 )
@@ -35,10 +37,12 @@
 	Open    int
 	Waiting int
 	Idle    bool
+	// Usable counts the workers that this instance is the home of and that
+	// answer; Reaches is set where any worker can be reached.
 	Usable  int
+	Reaches bool
 	// Slots are the places that peers may ask for, by service.
-	Slots   map[namer.Service]int
-	Workers []scheduler.WorkerState
+	Slots map[namer.Service]int
 }
 
 // post carries letters to peers.
@@ -64,6 +68,7 @@
 	pending map[namer.Kind]int
 	retag   *namer.RunTag
 	post    post
+	hellos  []scheduler.PeerHeard
 }
 
 // workerClient is a client of a worker, and the address that it calls.
@@ -116,6 +121,23 @@
 // Meters returns the counters of what the core decides.
 func (d *Driver) Meters() *Meters { return d.meters }
 
+// Hear takes in a peer's hello with the next step; it wakes nobody.
+func (d *Driver) Hear(h scheduler.PeerHeard) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.hellos = append(d.hellos, h)
+}
+
+func (d *Driver) takeHellos(batch []scheduler.Event) []scheduler.Event {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, h := range d.hellos {
+		batch = append(batch, h)
+	}
+	d.hellos = d.hellos[:0]
+	return batch
+}
+
 // Push hands an event to the core.
 func (d *Driver) Push(e scheduler.Event) {
 	select {
@@ -203,7 +225,7 @@
 		case <-timer.C:
 			timer.Reset(d.tick())
 		}
-		batch = d.drain(batch)
+		batch = d.takeHellos(d.drain(batch))
 		now := clocker.Boot()
 		if now.Sub(last) > jumpLimit {
 			d.log.Warn().Int("event", int(eventer.ClockJumped)).Dur("pause", now.Sub(last)).Msg(eventer.ClockJumped.Name())
@@ -213,7 +235,7 @@
 		for _, a := range d.core.Step(now, clocker.Wall(), batch) {
 			d.perform(a)
 		}
-		if now.Sub(lastStatus) >= busyTick {
+		if now.Sub(lastStatus) >= noteEvery {
 			lastStatus = now
 			d.note()
 		}
@@ -251,11 +273,9 @@
 
 // note publishes a summary of the core.
 func (d *Driver) note() {
-	st := Status{Open: d.core.Open(), Waiting: d.core.Waiting(), Idle: d.core.Idle(), Workers: d.core.Workers(), Slots: d.core.Slots()}
-	for _, w := range st.Workers {
-		if !w.Silent && !w.Draining && !w.Aside {
-			st.Usable++
-		}
+	st := Status{
+		Open: d.core.Open(), Waiting: d.core.Waiting(), Idle: d.core.Idle(), Usable: d.core.Usable(),
+		Reaches: d.core.Reaches(), Slots: d.core.Slots(),
 	}
 	pending := d.core.PendingByKind()
 	d.mu.Lock()
--- a/internal/edge/driver/meters.go
+++ b/internal/edge/driver/meters.go
@@ -62,7 +62,6 @@
 	m.Gauge("jobs_open", int64(st.Open))
 	m.Gauge("tasks_waiting", int64(st.Waiting))
 	m.Gauge("workers_usable", int64(st.Usable))
-	m.Gauge("workers_known", int64(len(st.Workers)))
 }
 
 func (m *Meters) decided(a scheduler.Decision) {
--- a/internal/edge/gossiper/gossiper.go
+++ b/internal/edge/gossiper/gossiper.go
@@ -18,9 +18,12 @@
 )
 
 const (
-	// helloEvery is the pace of datagrams: nine in a row are lost before an
-	// instance counts as silent.
+	// helloEvery is the pace of hellos among a few instances, and helloPer what
+	// each instance adds, up to maxHello: three in a row are lost before an
+	// instance counts as silent, and 33 instances send 250 hellos a second each.
 	helloEvery = 50 * time.Millisecond
+	helloPer   = 4 * time.Millisecond
+	maxHello   = 130 * time.Millisecond
 	// forgetAfter is how long a silent peer is still written to, so that it is
 	// found again after a cut.
 	forgetAfter = time.Minute
@@ -165,19 +168,21 @@
 }
 
 func (g *Gossiper) runSender() {
-	t := time.NewTicker(helloEvery)
+	t := time.NewTimer(helloEvery)
 	defer t.Stop()
 	for {
 		select {
 		case <-g.done:
 			return
 		case <-t.C:
-			g.send()
+			n := g.send()
+			t.Reset(min(max(helloEvery, time.Duration(n)*helloPer), maxHello))
 		}
 	}
 }
 
-func (g *Gossiper) send() {
+// send says hello to all peers, and returns how many there are.
+func (g *Gossiper) send() int {
 	peers := g.Peers()
 	h := g.say()
 	if g.turn++; g.turn%10 == 0 {
@@ -187,6 +192,7 @@
 	for _, ip := range peers {
 		g.write(b, ip)
 	}
+	return len(peers)
 }
 
 // Send sends a letter to a peer that was heard, in as many datagrams as it
--- a/internal/edge/starter/starter.go
+++ b/internal/edge/starter/starter.go
@@ -154,7 +154,7 @@
 // configuration and reaches workers.
 func (n *Instance) ready(w http.ResponseWriter, _ *http.Request) {
 	_, configured := n.gateway.Version()
-	if !configured || n.leaving.Load() || n.driver.Status().Usable == 0 {
+	if !configured || n.leaving.Load() || !n.driver.Status().Reaches {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -232,7 +232,7 @@
 	if !known {
 		n.log.Warn().Int("event", int(eventer.PeerHeard)).Str("peer", h.Name).Msg(eventer.PeerHeard.Name())
 	}
-	n.driver.Push(scheduler.PeerHeard{Name: h.Name, Domain: h.Domain, Tag: h.Tag, Waiting: h.Waiting, Slots: h.Slots})
+	n.driver.Hear(scheduler.PeerHeard{Name: h.Name, Domain: h.Domain, Tag: h.Tag, Waiting: h.Waiting, Slots: h.Slots})
 	n.follower.Fetch(netip.AddrPortFrom(h.From, uint16(n.settings.PeerPort)).String(), h.Config, h.List)
 }
 
