--- a/internal/bench/breaker/relay.go
+++ b/internal/bench/breaker/relay.go
@@ -3,9 +3,9 @@
 
 import (
 	"fmt"
-	"io"
 	"net"
 	"sync"
+	"time"
 )
 
 // Relay passes connections on to an address, until it is cut.
@@ -16,6 +16,10 @@
 
 	mu  sync.Mutex
 	cut bool
+	// held directions pass nothing on and close nothing; delay is added to
+	// whatever is passed on.
+	held  [2]bool
+	delay time.Duration
 	// open holds both ends of all connections.
 	open map[net.Conn]struct{}
 }
@@ -61,16 +65,85 @@
 	r.wg.Add(2)
 	go func() {
 		defer r.wg.Done()
-		r.copy(out, in)
+		r.copy(out, in, ToTarget)
 	}()
 	go func() {
 		defer r.wg.Done()
-		r.copy(in, out)
+		r.copy(in, out, ToCaller)
 	}()
 }
 
-func (r *Relay) copy(to, from net.Conn) {
-	_, _ = io.Copy(to, from)
+// Direction is one way through a relay.
+type Direction int
+
+// The directions.
+const (
+	ToTarget Direction = iota
+	ToCaller
+)
+
+const (
+	// holdPoll is how often a held direction looks whether it may go on.
+	holdPoll = 5 * time.Millisecond
+	// chunk is what is passed on at a time, in bytes.
+	chunk = 32 << 10
+)
+
+// Hold silences a direction, or lets it go on: bytes wait, and no end is told
+// that anything is wrong.
+func (r *Relay) Hold(d Direction, hold bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.held[d] = hold
+}
+
+// Delay adds a time to whatever is passed on.
+func (r *Relay) Delay(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = d
+}
+
+// Reset ends all connections and takes new ones.
+func (r *Relay) Reset() {
+	r.Cut(true)
+	r.Cut(false)
+}
+
+// await waits until a direction may pass something on. It reports whether the
+// relay is open.
+func (r *Relay) await(d Direction) bool {
+	for {
+		r.mu.Lock()
+		cut, held, delay := r.cut, r.held[d], r.delay
+		r.mu.Unlock()
+		if cut {
+			return false
+		}
+		if !held {
+			time.Sleep(delay)
+			return true
+		}
+		time.Sleep(holdPoll)
+	}
+}
+
+func (r *Relay) copy(to, from net.Conn, d Direction) {
+	buf := make([]byte, chunk)
+	for {
+		n, err := from.Read(buf)
+		if n > 0 {
+			if !r.await(d) {
+				break
+			}
+			if _, werr := to.Write(buf[:n]); werr != nil {
+				break
+			}
+		}
+		if err != nil {
+			break
+		}
+	}
 	_ = to.Close()
 	_ = from.Close()
 	r.mu.Lock()
