--- a/Makefile
+++ b/Makefile
@@ -1,17 +1,23 @@
-.PHONY: test format lint race model build faults fuzz bench
+# Paths, topics, headers and fields of the users' platform, which only the
+# adapter may name.
+PLATFORM_NAMES = "/heatherslip/|keyed\.|HEATHERSLIP_BOOT|Deadline-Ms|Expect-Instance|AckCursor|UntilMs|EstimateMs|ListenAddrs
+
+.PHONY: test format lint race model build faults fuzz bench soak
 
 # The whole check: formatter, linters, race tests and the model check.
 test: format lint race model
 	@echo "all checks passed"
 
 format:
-	@out=$$(go tool gofumpt -l cmd internal); \
+	@out=$$(go tool gofumpt -l cmd internal platform); \
 	if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
 
 lint:
 	go vet ./...
 	go tool staticcheck ./...
 	go tool revive -config revive.toml -set_exit_status ./...
+	@out=$$(grep -rnE --include='*.go' '$(PLATFORM_NAMES)' cmd internal | grep -v '_test\.go:'); \
+	if [ -n "$$out" ]; then echo "names of the users' platform outside platform/:"; echo "$$out"; exit 1; fi
 
 race:
 	go test -race -timeout 20m ./...
@@ -29,6 +35,14 @@
 fuzz:
 	go test -run XXX -fuzz FuzzDecodeMessage -fuzztime 20s ./internal/wire/coder
 	go test -run XXX -fuzz FuzzDecodeRecord -fuzztime 20s ./internal/wire/coder
+	go test -run XXX -fuzz FuzzDecodeRecords -fuzztime 20s ./platform
+	go test -run XXX -fuzz FuzzDecodeWorkerAnswers -fuzztime 20s ./platform
+
+# The soak of real processes with fresh seeds: make soak SEED=100 COUNT=50.
+SEED ?= 100
+COUNT ?= 50
+soak:
+	go test -race -count=1 -timeout 60m -v ./internal/bench/soaker -soak.seed $(SEED) -soak.count $(COUNT)
 
 # The slopes of docs/CAPACITY.md.
 bench:
--- a/internal/cli/commander/commander.go
+++ b/internal/cli/commander/commander.go
@@ -74,6 +74,7 @@
 	Instances instancesCmd `cmd:"" help:"List the entry instances."`
 	Workers   workersCmd   `cmd:"" help:"List the workers that the instance sees."`
 	Minions   minionsCmd   `cmd:"" help:"List the minions that the instance sees."`
+	Explain   explainCmd   `cmd:"" help:"Print what the logs of instances say of one job. Example: heatherslip explain 5c0e7a21d94b36f8 e0.log e1.log"`
 	Events    eventsCmd    `cmd:"" help:"Print the catalogue of logged events."`
 	Drain     drainCmd     `cmd:"" help:"Have the instance finish its work and leave."`
 }
--- a/internal/cli/commander/edge.go
+++ b/internal/cli/commander/edge.go
@@ -26,7 +26,7 @@
 )
 
 type edgeCmd struct {
-	Settings string `help:"Settings file of the platform." env:"HEATHERSLIP_BOOT" required:"" type:"path"`
+	Settings string `help:"Settings file of the platform; by default the one that the platform names in the environment." type:"path"`
 	Level    string `help:"Lowest level that is logged." enum:"debug,info,warn" default:"debug" env:"HEATHERSLIP_LOG"`
 }
 
@@ -40,6 +40,9 @@
 	}
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	log := zerolog.New(lines).Level(level).With().Timestamp().Logger()
+	if c.Settings == "" {
+		c.Settings = os.Getenv(platform.SettingsVariable)
+	}
 	settings, err := platform.LoadSettings(c.Settings)
 	if err != nil {
 		log.Error().Int("event", int(eventer.SettingsBad)).Err(err).Msg(eventer.SettingsBad.Name())
--- a/internal/core/scheduler/admission.go
+++ b/internal/core/scheduler/admission.go
@@ -238,8 +238,10 @@
 		s.giveUp(j, "deadline reached")
 	case !j.begun() && !s.now.Before(j.giveUp):
 		s.refuse(j, s.refusalOutcome(j), s.refusalReason(j))
-	case j.begun() && s.hopeless(j):
-		s.abort(j, "can't end in time any more")
+	case j.begun():
+		if reason := s.hopeless(j); reason != "" {
+			s.abort(j, reason)
+		}
 	}
 }
 
@@ -257,22 +259,24 @@
 	return "no worker can be reached"
 }
 
-// hopeless reports whether a started job can't end while that is worth
-// anything: a task that waits, or whose worker is silent, has its whole work
-// before it.
-func (s *Scheduler) hopeless(j *job) bool {
+// hopeless says why a started job can't end while that is worth anything, or
+// nothing where it can: a task that waits, or whose worker is silent, has its
+// whole work before it.
+func (s *Scheduler) hopeless(j *job) string {
 	limit := earlier(j.late, j.deadline)
 	k := s.kind(j.Kind)
 	for _, t := range j.tasks {
-		if t.state == taskDone {
+		if t.state == taskDone || !s.now.Add(k.predict(t.step)).After(limit) {
 			continue
 		}
-		if t.state == taskRunning && !s.silent(t.run.worker) {
-			continue
-		}
-		if s.now.Add(k.predict(t.step)).After(limit) {
-			return true
+		switch {
+		case t.run == nil:
+			return "task " + taskLabel(t.name) + " found no room"
+		case t.state == taskStarting:
+			return "start of task " + taskLabel(t.name) + " on " + string(t.run.worker.id) + " is not confirmed"
+		case s.silent(t.run.worker):
+			return "task " + taskLabel(t.name) + " runs on " + string(t.run.worker.id) + ", which is silent"
 		}
 	}
-	return false
+	return ""
 }
--- a/internal/core/scheduler/peer.go
+++ b/internal/core/scheduler/peer.go
@@ -349,7 +349,7 @@
 		s.runNoticed(&e.Letter.Active[i])
 	}
 	for _, r := range e.Letter.Stops {
-		s.do(Stop{Worker: r.Worker, Task: r.Task, Run: r.Run})
+		s.do(Stop(r))
 	}
 }
 
