soaker: one restart of a process at a time; follower: silence is noticed in 2 s

A read of the configuration noticed a connection that had gone silent after 9.5 s, above the 2 s that the platform grants.

--- a/internal/bench/soaker/soaker.go
+++ b/internal/bench/soaker/soaker.go
@@ -72,6 +72,8 @@
 	exited         chan struct{}
 	// terminated is when it was asked to stop; zero while it was not.
 	terminated time.Time
+	// restarting is set from a fault that ends the process until its next start.
+	restarting bool
 }
 
 // New starts the site and the instances.
@@ -377,7 +379,11 @@
 
 // restart ends a process by a signal, and starts it again once it has ended.
 func (s *Soak) restart(p *process, sig syscall.Signal) func() {
-	if p.leaving() {
+	p.mu.Lock()
+	busy := p.restarting
+	p.restarting = true
+	p.mu.Unlock()
+	if busy {
 		return nil
 	}
 	p.signal(sig)
@@ -387,6 +393,9 @@
 		if err := p.start(s.opts.Binary); err != nil {
 			s.fault("start of %s: %v", p.name, err)
 		}
+		p.mu.Lock()
+		p.restarting = false
+		p.mu.Unlock()
 	}
 }
 
--- a/internal/edge/follower/follower.go
+++ b/internal/edge/follower/follower.go
@@ -21,9 +21,10 @@
 )
 
 const (
-	// configWait is how long a read waits for a new configuration; each read
-	// is priced, and the store answers one at once when there is news.
-	configWait = 8 * time.Second
+	// configWait is how long a read waits for a new configuration. A connection
+	// that has gone silent is noticed after it and the store's timeout, which
+	// together stay below the 2 s that a configuration may take.
+	configWait = time.Second
 	// listEvery is the pace of reads of the list; a worker that leaves must
 	// get no start 2 s later.
 	listEvery = 500 * time.Millisecond
