--- a/internal/cli/commander/edge.go
+++ b/internal/cli/commander/edge.go
@@ -27,6 +27,7 @@
 
 type edgeCmd struct {
 	Settings string `help:"Settings file of the platform; by default the one that the platform names in the environment." type:"path"`
+	Metrics  int    `help:"Port that serves meters at /metrics on the instance's address, beside the peers' port." default:"0"`
 	Level    string `help:"Lowest level that is logged." enum:"debug,info,warn" default:"debug" env:"HEATHERSLIP_LOG"`
 }
 
@@ -52,7 +53,7 @@
 	if settings.Memory > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory)))
 	}
-	instance, err := starter.New(settings, c.Settings, lines, log)
+	instance, err := starter.New(settings, starter.Options{Path: c.Settings, MetricsPort: c.Metrics}, lines, log)
 	if err != nil {
 		return fail(ExitFailed, err)
 	}
--- /dev/null
+++ b/internal/edge/driver/meters_test.go
@@ -0,0 +1,42 @@
+package driver
+
+import (
+	"net/http/httptest"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/heatherslip/heatherslip/internal/core/scheduler"
+	"github.com/heatherslip/heatherslip/internal/wire/eventer"
+)
+
+// TestMetersAreDocumented keeps docs/METRICS.md and the code alike.
+func TestMetersAreDocumented(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/METRICS.md")
+	must.NoError(t, err)
+	m := NewMeters()
+	m.note(Status{Open: 1})
+	m.Gauge("config_version", 1)
+	for _, e := range []eventer.Event{eventer.JobCompleted, eventer.JobRefused, eventer.JobGivenUp, eventer.TaskEnded} {
+		m.decided(scheduler.Decision{Event: e, Response: time.Millisecond, Age: time.Millisecond})
+	}
+	m.started(scheduler.StartAnswered{Verdict: scheduler.StartNoRoom, Took: time.Millisecond})
+	m.started(scheduler.StartAnswered{Verdict: scheduler.StartLost, Took: time.Millisecond})
+	m.polled(time.Millisecond, nil)
+	m.polled(0, os.ErrClosed)
+	w := httptest.NewRecorder()
+	m.ServeHTTP(w, nil)
+	names := regexp.MustCompile(`heatherslip_([a-z_]+?)(?:_count)?(?:\{[^}]*\})? `).FindAllStringSubmatch(w.Body.String(), -1)
+	must.Positive(t, len(names))
+	for _, n := range names {
+		name := n[1]
+		if strings.HasPrefix(name, "decisions_") {
+			name = "decisions_NAME_total"
+		}
+		must.StrContains(t, string(page), "`"+name+"`")
+	}
+}
--- a/internal/edge/starter/starter.go
+++ b/internal/edge/starter/starter.go
@@ -50,7 +50,7 @@
 // Instance is an entry instance on the platform.
 type Instance struct {
 	settings *platform.Settings
-	path     string
+	opts     Options
 	log      zerolog.Logger
 	lines    *recorder.Recorder
 	driver   *driver.Driver
@@ -70,11 +70,18 @@
 	bad   map[string]uint64
 }
 
-// New opens the listeners and starts the instance. The path is that of the
-// settings file, which is read again when it changes.
-func New(s *platform.Settings, path string, lines *recorder.Recorder, log zerolog.Logger) (*Instance, error) {
+// Options are what an instance is told beside the platform's settings.
+type Options struct {
+	// Path is that of the settings file, which is read again when it changes.
+	Path string
+	// MetricsPort serves the meters; zero leaves them to the peers' port.
+	MetricsPort int
+}
+
+// New opens the listeners and starts the instance.
+func New(s *platform.Settings, o Options, lines *recorder.Recorder, log zerolog.Logger) (*Instance, error) {
 	n := &Instance{
-		settings: s, path: path, log: log, lines: lines, done: make(chan struct{}),
+		settings: s, opts: o, log: log, lines: lines, done: make(chan struct{}),
 		name:  fmt.Sprintf("%s/%08x", s.Name, rand.Uint32()),
 		peers: make(map[string]time.Time), bad: make(map[string]uint64),
 	}
@@ -125,6 +132,14 @@
 	if err := n.serveAt(net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)), inner); err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
+	if n.opts.MetricsPort == 0 {
+		return nil
+	}
+	meters := http.NewServeMux()
+	meters.Handle("/metrics", n.driver.Meters())
+	if err := n.serveAt(net.JoinHostPort(s.IP, strconv.Itoa(n.opts.MetricsPort)), meters); err != nil {
+		return fmt.Errorf("listen for scrapers: %w", err)
+	}
 	return nil
 }
 
@@ -242,7 +257,7 @@
 	t := time.NewTicker(lookEvery)
 	defer t.Stop()
 	var changed time.Time
-	if info, err := os.Stat(n.path); err == nil {
+	if info, err := os.Stat(n.opts.Path); err == nil {
 		changed = info.ModTime()
 	}
 	for {
@@ -255,7 +270,7 @@
 		if dropped := n.lines.Untold(); dropped > 0 {
 			n.log.Warn().Int("event", int(eventer.LinesDropped)).Int("lines", dropped).Msg(eventer.LinesDropped.Name())
 		}
-		if info, err := os.Stat(n.path); err == nil && !info.ModTime().Equal(changed) {
+		if info, err := os.Stat(n.opts.Path); err == nil && !info.ModTime().Equal(changed) {
 			changed = info.ModTime()
 			n.Reload()
 		}
@@ -276,7 +291,7 @@
 // Reload reads the settings again. Seeds take effect at once; addresses do at
 // the next start.
 func (n *Instance) Reload() {
-	s, err := platform.LoadSettings(n.path)
+	s, err := platform.LoadSettings(n.opts.Path)
 	if err != nil {
 		n.log.Warn().Int("event", int(eventer.SettingsBad)).Err(err).Msg(eventer.SettingsBad.Name())
 		return
--- a/internal/edge/starter/starter_test.go
+++ b/internal/edge/starter/starter_test.go
@@ -46,7 +46,7 @@
 		s, err := platform.LoadSettings(path)
 		must.NoError(t, err)
 		lines := recorder.New(io.Discard)
-		instance, err := New(s, path, lines, zerolog.New(lines))
+		instance, err := New(s, Options{Path: path}, lines, zerolog.New(lines))
 		must.NoError(t, err)
 		t.Cleanup(lines.Close)
 		f.instances = append(f.instances, instance)
