--- a/internal/core/scheduler/safety_test.go
+++ b/internal/core/scheduler/safety_test.go
@@ -115,10 +115,11 @@
 			for second, two := range troubles {
 				seed++
 				w := newWorld(seed, site)
-				w.usual(0.9, 600*time.Millisecond, 4*time.Second, w.even())
+				w.usual(0.7, 600*time.Millisecond, 4*time.Second, w.even())
+				w.traffic(slowJob, 8, 600*time.Millisecond, 4*time.Second, w.even())
 				one(w, 1200*time.Millisecond)
 				two(w, 1700*time.Millisecond)
-				w.run(12 * time.Second)
+				w.run(24 * time.Second)
 				must.SliceEmpty(t, w.broken, must.Sprintf("with %q, seed %d: %v", second, seed, w.broken))
 				w.checkQuiet(t, fmt.Sprintf("with %q, seed %d", second, seed))
 			}
--- a/internal/core/scheduler/world_test.go
+++ b/internal/core/scheduler/world_test.go
@@ -584,18 +584,27 @@
 	tasks    int
 	work     time.Duration
 	attempts int
+	// patience is how long clients wait; zero is the sites' usual time.
+	patience time.Duration
 }
 
+// usualPatience is how long clients wait for the kinds of the sites.
+const usualPatience = 1500 * time.Millisecond
+
 // submit sends a job to an instance, and again to another where no answer
 // comes.
 func (w *world) submit(k kindOfJob, at *simInstance) *simJob {
 	name := namer.JobName(fmt.Sprintf("%016x", len(w.order)+1))
 	cores := namer.MilliCores(5500 + w.load.IntN(2600))
 	work := time.Duration(float64(k.work) * (0.7 + 0.6*w.load.Float64()))
+	patience := k.patience
+	if patience == 0 {
+		patience = usualPatience
+	}
 	j := &simJob{
 		spec: JobSpec{
 			Name: name, Kind: k.kind, Service: "s", MaxAttempts: k.attempts, Stretch: 1.6, Target: 60 * time.Millisecond,
-			Patience: 1500 * time.Millisecond,
+			Patience: patience,
 			Steps: []StepSpec{{
 				Count: k.tasks, Size: Size{Cores: cores, Memory: 64},
 				Estimate: time.Duration(float64(work) * (0.8 + 0.4*w.load.Float64())),
@@ -707,6 +716,8 @@
 var (
 	shortJob  = kindOfJob{kind: "short", tasks: 8, work: 60 * time.Millisecond, attempts: 2}
 	longJob   = kindOfJob{kind: "long", tasks: 4, work: 900 * time.Millisecond, attempts: 2}
+	// slowJob outlasts the time after which its client sends it again.
+	slowJob   = kindOfJob{kind: "slow", tasks: 2, work: 2500 * time.Millisecond, attempts: 2, patience: 6 * time.Second}
 	middleJob = kindOfJob{kind: "middle", tasks: 2, work: 200 * time.Millisecond, attempts: 2}
 )
 
