scheduler: leases follow the time after which clients come back

Cause: the lease of 0.8 s was right for deployments whose clients send a lost job again after 1.3 s only; the settings tell the time, and nothing used it. Change: silence, lease at the slowest clock and a margin end before that time. Dead code gone: the waiting count in hellos, rows of workers for nobody. Figures: 0.8 s as before on both sites; TestLease has the others.

--- a/internal/core/scheduler/event.go
+++ b/internal/core/scheduler/event.go
@@ -137,8 +137,6 @@
 	Name   string
 	Domain namer.Domain
 	Tag    namer.RunTag
-	// Waiting is the number of tasks that the peer has waiting for room.
-	Waiting int
 	// Slots is the number of usual tasks that it has places for, by service.
 	Slots map[namer.Service]int
 }
--- a/internal/core/scheduler/peer.go
+++ b/internal/core/scheduler/peer.go
@@ -119,11 +119,10 @@
 type peer struct {
 	name string
 	// key is the hash of the name.
-	key     uint64
-	domain  namer.Domain
-	tag     namer.RunTag
-	heard   time.Time
-	waiting int
+	key    uint64
+	domain namer.Domain
+	tag    namer.RunTag
+	heard  time.Time
 	// slots is the number of usual tasks that the peer says it has places for,
 	// less those asked for since.
 	slots  map[namer.Service]int
@@ -147,7 +146,7 @@
 	if p.tag != e.Tag {
 		delete(s.byTag, p.tag)
 	}
-	p.domain, p.tag, p.waiting, p.slots, p.heard = e.Domain, e.Tag, e.Waiting, e.Slots, s.now
+	p.domain, p.tag, p.slots, p.heard = e.Domain, e.Tag, e.Slots, s.now
 	s.byTag[e.Tag] = p
 	s.changed = s.changed || len(e.Slots) > 0
 }
--- a/internal/core/scheduler/place.go
+++ b/internal/core/scheduler/place.go
@@ -9,9 +9,6 @@
 )
 
 const (
-	// leaseAhead is the lease that each start and poll asks for: two polls may
-	// be lost before it is over, and it is below the longest that is granted.
-	leaseAhead = 800 * time.Millisecond
 	// minStartTimeout and maxStartTimeout bound how long the answer to a start
 	// is waited for: a round trip takes 2 ms, a process that is short of
 	// processor time is held for 100 ms, and with much longer no run that is
@@ -283,5 +280,5 @@
 }
 
 func (s *Scheduler) leaseUntil(w *worker) namer.WorkerMillis {
-	return w.clockNow(s.now) + namer.WorkerMillis(min(leaseAhead, s.MaxLease).Milliseconds())
+	return w.clockNow(s.now) + namer.WorkerMillis(s.lease.Milliseconds())
 }
--- a/internal/core/scheduler/run.go
+++ b/internal/core/scheduler/run.go
@@ -128,7 +128,7 @@
 		s.over(r)
 	case e.Proven:
 		r.provenAt = s.now
-		r.stopAt = s.now.Add(leaseAhead)
+		r.stopAt = s.now.Add(s.lease)
 		if !r.confirmed {
 			s.look(r.worker)
 		}
--- a/internal/core/scheduler/safety_test.go
+++ b/internal/core/scheduler/safety_test.go
@@ -209,3 +209,26 @@
 		})
 	}
 }
+
+// TestLease checks that silence and lease together are over before a client
+// sends a lost job again.
+func TestLease(t *testing.T) {
+	cases := map[string]struct {
+		max, resubmit, want time.Duration
+	}{
+		"the sites":              {time.Second, 1300 * time.Millisecond, 800 * time.Millisecond},
+		"clients come back soon": {time.Second, time.Second, 539215686 * time.Nanosecond},
+		"too soon to be safe":    {time.Second, 600 * time.Millisecond, shortestLease},
+		"workers grant less":     {300 * time.Millisecond, 1300 * time.Millisecond, 300 * time.Millisecond},
+		"nothing told":           {0, 0, longestLease},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			got := leaseFor(Settings{MaxLease: c.max, ResubmitAfter: c.resubmit})
+			must.Eq(t, c.want, got)
+			if c.resubmit >= time.Second {
+				must.LessEq(t, c.resubmit, peerSilence+time.Duration(clockDrift*float64(got)))
+			}
+		})
+	}
+}
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -79,6 +79,8 @@
 	lastRank time.Time
 	// answerTime is the smoothed time that workers take to answer a start.
 	answerTime time.Duration
+	// lease is the lease that each start and poll asks for.
+	lease time.Duration
 	// virtual is the virtual time of the fair queue over kinds.
 	virtual float64
 }
@@ -121,9 +123,35 @@
 		ghosts:   make(map[namer.JobName]int),
 		workers:  make(map[namer.Worker]*worker),
 		runCount: runCountAt(wall),
+		lease:    leaseFor(s),
 	}
 }
 
+const (
+	// longestLease lets two polls be lost before a lease is over.
+	longestLease = 800 * time.Millisecond
+	// shortestLease lets one be lost.
+	shortestLease = 500 * time.Millisecond
+	// leaseMargin is for ways and timers.
+	leaseMargin = 50 * time.Millisecond
+	// clockDrift is the rate of the slowest clock of a worker, against true time.
+	clockDrift = 1.02
+)
+
+// leaseFor returns a lease that is over, with the silence that comes before
+// it, when a client sends a lost job again.
+func leaseFor(s Settings) time.Duration {
+	lease := longestLease
+	if s.ResubmitAfter > 0 {
+		spare := float64(s.ResubmitAfter-peerSilence-leaseMargin) / clockDrift
+		lease = min(lease, max(time.Duration(spare), shortestLease))
+	}
+	if s.MaxLease > 0 {
+		lease = min(lease, s.MaxLease)
+	}
+	return lease
+}
+
 // runEpoch is 1 January 2020 in Unix milliseconds; run numbers count
 // hundredths of a second from it, so that they fit into 53 bits with their tag.
 const (
@@ -225,30 +253,6 @@
 	return s.Usable() > 0 || slices.ContainsFunc(s.alive, func(p *peer) bool { return len(p.slots) > 0 })
 }
 
-// WorkerState is a worker as this instance sees it.
-type WorkerState struct {
-	ID       namer.Worker
-	Domain   namer.Domain
-	Draining bool
-	Aside    bool
-	Silent   bool
-	Free     Size
-	Runs     int
-	Foreign  int
-}
-
-// Workers lists the workers by name.
-func (s *Scheduler) Workers() []WorkerState {
-	out := make([]WorkerState, 0, len(s.sorted))
-	for _, w := range s.sorted {
-		out = append(out, WorkerState{
-			ID: w.id, Domain: w.domain, Draining: w.draining, Aside: s.now.Before(w.asideUntil),
-			Silent: s.silent(w), Free: w.room(), Runs: len(w.own), Foreign: len(w.foreign),
-		})
-	}
-	return out
-}
-
 func (s *Scheduler) insert(w *worker) {
 	at := sort.Search(len(s.sorted), func(i int) bool { return s.sorted[i].id >= w.id })
 	s.sorted = append(s.sorted, nil)
--- a/internal/core/scheduler/world_test.go
+++ b/internal/core/scheduler/world_test.go
@@ -386,7 +386,7 @@
 		return
 	}
 	if i.up && !i.frozen && !i.mute {
-		e := PeerHeard{Name: i.core.Name, Domain: i.domain, Tag: i.core.Tag, Waiting: i.core.Waiting(), Slots: i.core.Slots()}
+		e := PeerHeard{Name: i.core.Name, Domain: i.domain, Tag: i.core.Tag, Slots: i.core.Slots()}
 		for _, o := range i.w.instances {
 			if o != i && o.up && !o.mute && !i.w.severed(i.domain, o.domain) {
 				life := o.life
@@ -714,8 +714,8 @@
 
 // The kinds of the two sites.
 var (
-	shortJob  = kindOfJob{kind: "short", tasks: 8, work: 60 * time.Millisecond, attempts: 2}
-	longJob   = kindOfJob{kind: "long", tasks: 4, work: 900 * time.Millisecond, attempts: 2}
+	shortJob = kindOfJob{kind: "short", tasks: 8, work: 60 * time.Millisecond, attempts: 2}
+	longJob  = kindOfJob{kind: "long", tasks: 4, work: 900 * time.Millisecond, attempts: 2}
 	// slowJob outlasts the time after which its client sends it again.
 	slowJob   = kindOfJob{kind: "slow", tasks: 2, work: 2500 * time.Millisecond, attempts: 2, patience: 6 * time.Second}
 	middleJob = kindOfJob{kind: "middle", tasks: 2, work: 200 * time.Millisecond, attempts: 2}
--- a/internal/edge/gossiper/gossiper.go
+++ b/internal/edge/gossiper/gossiper.go
@@ -44,8 +44,6 @@
 	Tag    namer.RunTag `cbor:"2,keyasint"`
 	// Slots is the number of usual tasks that it has places for, by service.
 	Slots map[namer.Service]int `cbor:"3,keyasint,omitempty"`
-	// Waiting is the number of tasks that wait for room.
-	Waiting int `cbor:"5,keyasint"`
 	// Config is the version in force, List how far the list of workers is known.
 	Config uint64 `cbor:"6,keyasint"`
 	List   uint64 `cbor:"7,keyasint"`
--- a/internal/edge/gossiper/gossiper_test.go
+++ b/internal/edge/gossiper/gossiper_test.go
@@ -17,16 +17,18 @@
 
 type inbox struct {
 	mu     sync.Mutex
-	hellos map[string]int
+	hellos map[string]namer.RunTag
 	asks   map[namer.Run]bool
 }
 
-func newInbox() *inbox { return &inbox{hellos: make(map[string]int), asks: make(map[namer.Run]bool)} }
+func newInbox() *inbox {
+	return &inbox{hellos: make(map[string]namer.RunTag), asks: make(map[namer.Run]bool)}
+}
 
 func (i *inbox) Heard(h Hello) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.hellos[h.Name] = h.Waiting
+	i.hellos[h.Name] = h.Tag
 }
 
 func (i *inbox) Told(_ string, l scheduler.Letter) {
@@ -55,7 +57,7 @@
 	for n := range 3 {
 		box := newInbox()
 		g, err := New(fmt.Sprintf("e%d", n), fmt.Sprintf("127.0.0.%d", 11+n), port, []string{"127.0.0.11", "not an address"},
-			func() Hello { return Hello{Waiting: n} }, box)
+			func() Hello { return Hello{Tag: namer.RunTag(n)} }, box)
 		must.NoError(t, err)
 		t.Cleanup(g.Close)
 		boxes, all = append(boxes, box), append(all, g)
--- a/internal/edge/starter/starter.go
+++ b/internal/edge/starter/starter.go
@@ -225,7 +225,7 @@
 	st := n.driver.Status()
 	return gossiper.Hello{
 		Domain: n.settings.Domain, Tag: namer.RunTag(n.tag.Load()),
-		Waiting: st.Waiting, Slots: st.Slots, Config: config, List: list,
+		Slots: st.Slots, Config: config, List: list,
 	}
 }
 
@@ -247,7 +247,7 @@
 	if !known {
 		n.log.Warn().Int("event", int(eventer.PeerHeard)).Str("peer", h.Name).Msg(eventer.PeerHeard.Name())
 	}
-	n.driver.Hear(scheduler.PeerHeard{Name: h.Name, Domain: h.Domain, Tag: h.Tag, Waiting: h.Waiting, Slots: h.Slots})
+	n.driver.Hear(scheduler.PeerHeard{Name: h.Name, Domain: h.Domain, Tag: h.Tag, Slots: h.Slots})
 	n.follower.Fetch(netip.AddrPortFrom(h.From, uint16(n.settings.PeerPort)).String(), h.Config, h.List)
 }
 
--- a/internal/edge/starter/starter_test.go
+++ b/internal/edge/starter/starter_test.go
@@ -53,7 +53,9 @@
 		f.front = append(f.front, s.Front)
 	}
 	for i := range f.front {
-		f.await(t, func() bool { return f.status(t, emulator.Get(fmt.Sprintf("127.0.0.%d:%d", 21+i, port+1), platform.ReadyPath)) == http.StatusOK })
+		f.await(t, func() bool {
+			return f.status(t, emulator.Get(fmt.Sprintf("127.0.0.%d:%d", 21+i, port+1), platform.ReadyPath)) == http.StatusOK
+		})
 	}
 	return f
 }
