--- a/internal/edge/recorder/recorder.go
+++ b/internal/edge/recorder/recorder.go
@@ -4,6 +4,7 @@
 package recorder
 
 import (
+	"bytes"
 	"io"
 	"sync"
 	"time"
@@ -15,6 +16,8 @@
 	// bufferBytes holds some thousand lines, so that a reader that stalls for a
 	// second loses none at the usual rate.
 	bufferBytes = 512 << 10
+	// atomicWrite is what a pipe takes without tearing it, in bytes (PIPE_BUF).
+	atomicWrite = 4096
 	// writeEvery is the pace of writes; one write for each line would be a third
 	// of the system calls of a busy instance.
 	writeEvery = 20 * time.Millisecond
@@ -136,10 +139,7 @@
 		r.pending = spare[:0]
 		closed := r.closed
 		r.mu.Unlock()
-		if len(batch) > 0 {
-			// There is nowhere to report that the log can't be written.
-			_, _ = r.out.Write(batch)
-		}
+		r.write(batch)
 		spare = batch
 		if closed {
 			return
@@ -148,6 +148,26 @@
 	}
 }
 
+// write writes whole lines, in pieces that a pipe takes at once: lines of
+// processes that share one are not torn then.
+func (r *Recorder) write(batch []byte) {
+	for len(batch) > 0 {
+		n := len(batch)
+		if n > atomicWrite {
+			n = bytes.LastIndexByte(batch[:atomicWrite], '\n') + 1
+		}
+		if n == 0 {
+			n = bytes.IndexByte(batch, '\n') + 1
+		}
+		if n == 0 {
+			n = len(batch)
+		}
+		// There is nowhere to report that the log can't be written.
+		_, _ = r.out.Write(batch[:n])
+		batch = batch[n:]
+	}
+}
+
 // pause lets lines gather, unless the recorder is closed.
 func (r *Recorder) pause() {
 	t := time.NewTimer(writeEvery)
--- a/internal/edge/recorder/recorder_test.go
+++ b/internal/edge/recorder/recorder_test.go
@@ -58,6 +58,34 @@
 	must.Eq(t, `{"level":"warn","n":99}`, lines[99])
 }
 
+// pieces keeps what each write was given.
+type pieces struct{ all []string }
+
+func (p *pieces) Write(b []byte) (int, error) {
+	p.all = append(p.all, string(b))
+	return len(b), nil
+}
+
+// TestWholeLinesInEachWrite checks that no write tears a line, and that each but
+// that of an overlong line is one that pipes take at once.
+func TestWholeLinesInEachWrite(t *testing.T) {
+	out := &pieces{}
+	r := New(out)
+	long := strings.Repeat("y", 2*atomicWrite) + "\n"
+	for range 50 {
+		_, err := r.Write([]byte(strings.Repeat("x", 299) + "\n"))
+		must.NoError(t, err)
+	}
+	_, err := r.Write([]byte(long))
+	must.NoError(t, err)
+	r.Close()
+	must.Eq(t, 50*300+len(long), len(strings.Join(out.all, "")))
+	for _, piece := range out.all {
+		must.StrHasSuffix(t, "\n", piece)
+		must.True(t, len(piece) <= atomicWrite || piece == long)
+	}
+}
+
 // BenchmarkLine is the cost of a line that is kept, BenchmarkDropped that of one
 // that is not.
 func BenchmarkLine(b *testing.B) {
