--- /dev/null
+++ b/internal/core/scheduler/home.go
@@ -0,0 +1,112 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/heatherslip/heatherslip/internal/wire/eventer"
+)
+
+// Each worker has a home: the living instance with the best right to it. The
+// home alone polls it, prolongs its lease and knows its room; the others ask
+// the home for a place before they start a task there. A place is advice, no
+// lock: what keeps runs apart are their numbers, leases and proven stops.
+
+// dealHomes gives each worker its home: of the living instances of its domain,
+// or of all where there is none, the first by rendezvous hash. Nothing changes
+// while the same instances live and the same workers are listed.
+func (s *Scheduler) dealHomes() {
+	alive := s.sortedPeers()
+	if slices.Equal(alive, s.alive) && !s.relisted {
+		return
+	}
+	s.alive, s.relisted = alive, false
+	s.homes = s.homes[:0]
+	for _, w := range s.sorted {
+		s.setHome(w, s.homeOf(w))
+		if w.home == nil {
+			s.homes = append(s.homes, w)
+		}
+	}
+	s.changed = true
+}
+
+func (s *Scheduler) setHome(w *worker, home *peer) {
+	if home == w.home && w.dealt {
+		return
+	}
+	w.home, w.dealt = home, true
+	w.places = nil
+	if home != nil {
+		s.setForeign(w, nil)
+		s.visit(w)
+		return
+	}
+	w.looked = false
+	w.nextPoll = s.now
+	s.do(Decision{Event: eventer.WorkerHome, Worker: w.id, Waiting: len(s.alive)})
+}
+
+// visit notes that this instance has runs on a worker that it is not the home
+// of.
+func (s *Scheduler) visit(w *worker) {
+	if w.home != nil && len(w.own) > 0 && !slices.Contains(s.visited, w) {
+		s.visited = append(s.visited, w)
+	}
+}
+
+// eachNear calls a function for each worker that this instance has to look
+// after: those that it is the home of, and those where it has runs.
+func (s *Scheduler) eachNear(do func(*worker)) {
+	for _, w := range s.homes {
+		do(w)
+	}
+	s.visited = slices.DeleteFunc(s.visited, func(w *worker) bool { return w.home == nil || len(w.own) == 0 && !w.polling })
+	for _, w := range s.visited {
+		do(w)
+	}
+}
+
+// homeOf returns the peer that is a worker's home, or nil for this instance.
+func (s *Scheduler) homeOf(w *worker) *peer {
+	var best *peer
+	bestRight := right(s.key, w.key)
+	bestIn := s.Domain == w.domain
+	for _, p := range s.alive {
+		in := p.domain == w.domain
+		r := right(p.key, w.key)
+		if in == bestIn && r > bestRight || in && !bestIn {
+			best, bestRight, bestIn = p, r, in
+		}
+	}
+	return best
+}
+
+// pollsWorker reports whether this instance polls a worker: where it is its
+// home, and where it has runs that the home says nothing of.
+func (s *Scheduler) pollsWorker(w *worker) bool {
+	if w.home == nil {
+		return w.listed || len(w.own) > 0
+	}
+	if len(w.own) == 0 {
+		return false
+	}
+	if s.now.Sub(w.home.heard) > homeSilence {
+		return true
+	}
+	return slices.ContainsFunc(w.own, func(r *run) bool { return r.stopping || r.lost || s.overdue(r) })
+}
+
+const (
+	// homeSilence is how long a home may be silent before an instance polls the
+	// workers where it has runs itself.
+	homeSilence = 250 * time.Millisecond
+	// overdueFactor and overdueSlack say when a run should have ended: its home
+	// has then been silent on it, or it is slow.
+	overdueFactor = 1.5
+	overdueSlack  = 60 * time.Millisecond
+)
+
+func (s *Scheduler) overdue(r *run) bool {
+	return r.confirmed && s.now.Sub(r.begun) > time.Duration(overdueFactor*float64(r.predicted))+overdueSlack
+}
