scheduler: what nothing reads is gone, and what stood twice stands once

Found in reading the whole change: an event Drain that nothing sends with a flag that nothing reads, the time of a start that is only written, a search for a place written twice, one question asked twice to refuse a job, and a copy of a list that is not changed.

--- a/internal/core/scheduler/admission.go
+++ b/internal/core/scheduler/admission.go
@@ -237,7 +237,7 @@
 	case !s.now.Before(j.deadline):
 		s.giveUp(j, "deadline reached")
 	case !j.begun() && !s.now.Before(j.giveUp):
-		s.refuse(j, s.refusalOutcome(j), s.refusalReason(j))
+		s.refuseLate(j)
 	case j.begun():
 		if reason := s.hopeless(j); reason != "" {
 			s.abort(j, reason)
@@ -245,18 +245,13 @@
 	}
 }
 
-func (s *Scheduler) refusalOutcome(j *job) Outcome {
+// refuseLate refuses a job whose time for a first start is over.
+func (s *Scheduler) refuseLate(j *job) {
 	if s.anyUsable(j.Service) {
-		return Refused
-	}
-	return Unavailable
-}
-
-func (s *Scheduler) refusalReason(j *job) string {
-	if s.anyUsable(j.Service) {
-		return "no room in time"
+		s.refuse(j, Refused, "no room in time")
+		return
 	}
-	return "no worker can be reached"
+	s.refuse(j, Unavailable, "no worker can be reached")
 }
 
 // hopeless says why a started job can't end while that is worth anything, or
--- a/internal/core/scheduler/ask.go
+++ b/internal/core/scheduler/ask.go
@@ -221,7 +221,7 @@
 		s.dropAsk(key)
 		return
 	}
-	i := slices.IndexFunc(w.places, func(p place) bool { return p.key == key })
+	i := w.placeIndex(key)
 	size := Size{}
 	if i >= 0 {
 		size = w.places[i].size
--- a/internal/core/scheduler/event.go
+++ b/internal/core/scheduler/event.go
@@ -147,9 +147,6 @@
 	Letter Letter
 }
 
-// Drain asks for no new work; what was taken in is finished.
-type Drain struct{}
-
 func (JobArrived) event()    {}
 func (CallerLeft) event()    {}
 func (WorkersListed) event() {}
@@ -158,4 +155,3 @@
 func (Polled) event()        {}
 func (PeerHeard) event()     {}
 func (Told) event()          {}
-func (Drain) event()         {}
--- a/internal/core/scheduler/job.go
+++ b/internal/core/scheduler/job.go
@@ -107,8 +107,7 @@
 	size   Size
 	// task is nil once the run is no longer wanted.
 	task *task
-	// sent is when the start was sent, begun when its answer came.
-	sent  time.Time
+	// begun is when the answer to the start came.
 	begun time.Time
 	// confirmed is set once the worker has said that the run is there.
 	confirmed bool
--- a/internal/core/scheduler/place.go
+++ b/internal/core/scheduler/place.go
@@ -251,7 +251,7 @@
 	k := s.kind(t.job.Kind)
 	r := &run{
 		name: t.name, number: number, worker: w, size: t.step.Size,
-		task: t, sent: s.now, predicted: k.predict(t.step),
+		task: t, predicted: k.predict(t.step),
 	}
 	t.run, t.state = r, taskStarting
 	s.runs[runKey{r.name, r.number}] = r
--- a/internal/core/scheduler/poll.go
+++ b/internal/core/scheduler/poll.go
@@ -129,7 +129,7 @@
 // stopLost stops the runs whose start was lost and that a poll sent after it
 // has not shown.
 func (s *Scheduler) stopLost(w *worker, e Polled) {
-	for _, r := range slices.Clone(w.own) {
+	for _, r := range w.own {
 		if r.lost && !e.Sent.Before(r.lostAt) {
 			r.stopping = true
 		}
@@ -310,7 +310,7 @@
 // where it was given one.
 func (s *Scheduler) foreignRow(w *worker, a ActiveRun) foreignRun {
 	key := runKey{a.Task, a.Run}
-	if i := slices.IndexFunc(w.places, func(p place) bool { return p.key == key }); i >= 0 {
+	if i := w.placeIndex(key); i >= 0 {
 		size := w.places[i].size
 		w.places = slices.Delete(w.places, i, i+1)
 		return foreignRun{a, size}
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -69,8 +69,7 @@
 	// relisted is set where homes have to be dealt again.
 	relisted bool
 	// key is the hash of the name.
-	key      uint64
-	draining bool
+	key uint64
 	// changed is set where a task may find room that found none before.
 	changed bool
 	// runCount makes run numbers rise.
@@ -199,8 +198,6 @@
 		s.peerHeard(e)
 	case Told:
 		s.told(e)
-	case Drain:
-		s.draining = true
 	}
 }
 
--- a/internal/core/scheduler/worker.go
+++ b/internal/core/scheduler/worker.go
@@ -107,6 +107,10 @@
 	return slices.IndexFunc(w.foreign, func(f foreignRun) bool { return f.Run == key.run && f.Task == key.task })
 }
 
+func (w *worker) placeIndex(key runKey) int {
+	return slices.IndexFunc(w.places, func(p place) bool { return p.key == key })
+}
+
 // dropPlaces frees the places that no word of a start has come for.
 func (w *worker) dropPlaces(now time.Time) {
 	w.places = slices.DeleteFunc(w.places, func(p place) bool { return now.After(p.until) })
