edge: a site that starts knows itself at once; a leaving instance gives its workers away

Ruled out: leases of the time before (0.8 s, over by then); the store (the configuration was applied within 0.2 s everywhere).

Change: a peer that is new is greeted at once and told of all others, as are all in the four rounds after; no workers in the first 100 ms; a leaving instance is nobody's home while others stay, shuts its listener after 2.5 s, refuses a job whose objective lies behind its own end, and leaves stops without proof to its peers after 0.4 s.

--- a/internal/core/scheduler/admission.go
+++ b/internal/core/scheduler/admission.go
@@ -34,6 +34,9 @@
 	j.objective = s.now.Add(target)
 	j.late = s.now.Add(time.Duration(lateFactor * float64(target)))
 	j.deadline = s.now.Add(j.Patience - answerMargin)
+	if j.Left > 0 {
+		j.deadline = earlier(j.deadline, s.now.Add(j.Left-answerMargin))
+	}
 	j.giveUp = earlier(s.now.Add(time.Duration(waitShare*float64(target))), j.deadline)
 	for i := range j.Steps {
 		st := &j.Steps[i]
@@ -55,6 +58,10 @@
 		s.refuse(j, Refused, reason)
 		return
 	}
+	if j.Left > 0 && j.objective.After(j.deadline) {
+		s.refuse(j, Unavailable, "this instance ends before the job could")
+		return
+	}
 	if !s.anyUsable(j.Service) && s.now.Sub(s.started) > firstLooks {
 		s.refuse(j, Unavailable, "no worker can be reached")
 		return
--- a/internal/core/scheduler/event.go
+++ b/internal/core/scheduler/event.go
@@ -139,6 +139,8 @@
 	Tag    namer.RunTag
 	// Slots is the number of usual tasks that it has places for, by service.
 	Slots map[namer.Service]int
+	// Leaving is set where it ends as soon as its jobs have.
+	Leaving bool
 }
 
 // Told is a peer's letter.
--- a/internal/core/scheduler/home.go
+++ b/internal/core/scheduler/home.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/heatherslip/heatherslip/internal/wire/eventer"
+	"github.com/heatherslip/heatherslip/internal/wire/namer"
 )
 
 // Each worker has a home: the living instance with the best right to it. The
@@ -15,7 +16,13 @@
 // dealHomes gives each worker its home: of the living instances of its domain,
 // or of all where there is none, the first by rendezvous hash. Nothing changes
 // while the same instances live and the same workers are listed.
+//
+// An instance that has just started leaves the workers to others until it knows
+// its peers: if a whole site starts, each instance would poll most workers else.
 func (s *Scheduler) dealHomes() {
+	if s.now.Sub(s.started) < settleTime {
+		return
+	}
 	alive := s.sortedPeers()
 	if slices.Equal(alive, s.alive) && !s.relisted {
 		return
@@ -68,20 +75,45 @@
 }
 
 // homeOf returns the peer that is a worker's home, or nil for this instance.
+// Instances that are leaving are nobody's home while others stay.
 func (s *Scheduler) homeOf(w *worker) *peer {
 	var best *peer
-	bestRight := right(s.key, w.key)
-	bestIn := s.Domain == w.domain
+	bestClaim := s.claimOf(s.key, s.Domain, s.leaving, w)
 	for _, p := range s.alive {
-		in := p.domain == w.domain
-		r := right(p.key, w.key)
-		if in == bestIn && r > bestRight || in && !bestIn {
-			best, bestRight, bestIn = p, r, in
+		if c := s.claimOf(p.key, p.domain, p.leaving, w); c.beats(bestClaim) {
+			best, bestClaim = p, c
 		}
 	}
 	return best
 }
 
+// claim is what the right of an instance to a worker goes by, the most
+// important first.
+type claim struct {
+	stays, inDomain bool
+	right           uint64
+}
+
+func (s *Scheduler) claimOf(key uint64, in namer.Domain, leaving bool, w *worker) claim {
+	return claim{stays: !leaving, inDomain: in == w.domain, right: right(key, w.key)}
+}
+
+func (c claim) beats(o claim) bool {
+	if c.stays != o.stays {
+		return c.stays
+	}
+	if c.inDomain != o.inDomain {
+		return c.inDomain
+	}
+	return c.right > o.right
+}
+
+// Leave has the workers of this instance go to other homes, while its jobs end.
+func (s *Scheduler) Leave() {
+	s.leaving = true
+	s.relisted = true
+}
+
 // pollsWorker reports whether this instance polls a worker: where it is its
 // home, and where it has runs that the home says nothing of.
 func (s *Scheduler) pollsWorker(w *worker) bool {
@@ -98,6 +130,10 @@
 }
 
 const (
+	// settleTime is how long an instance that has started hears its peers
+	// before it takes workers: hellos come each 50 to 130 ms, and those that it
+	// is greeted with at once.
+	settleTime = 100 * time.Millisecond
 	// homeSilence is how long a home may be silent before an instance polls the
 	// workers where it has runs itself.
 	homeSilence = 250 * time.Millisecond
--- /dev/null
+++ b/internal/core/scheduler/home_test.go
@@ -0,0 +1,93 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/heatherslip/heatherslip/internal/wire/namer"
+)
+
+// TestHomes counts the workers that an instance of a site of two domains takes.
+func TestHomes(t *testing.T) {
+	const perDomain = 12
+	here, there := namer.Domain("here"), namer.Domain("there")
+	cases := map[string]struct {
+		after time.Duration
+		leave bool
+		peers []PeerHeard
+		// least and most bound the number of workers taken.
+		least, most int
+	}{
+		"it has just started":           {after: 50 * time.Millisecond},
+		"it is alone":                   {after: time.Second, least: 2 * perDomain, most: 2 * perDomain},
+		"a peer in the other domain":    {after: time.Second, peers: []PeerHeard{{Domain: there}}, least: perDomain, most: perDomain},
+		"a peer in its domain":          {after: time.Second, peers: []PeerHeard{{Domain: here}}, least: 1, most: 2*perDomain - 1},
+		"a peer that leaves":            {after: time.Second, peers: []PeerHeard{{Domain: here, Leaving: true}}, least: 2 * perDomain, most: 2 * perDomain},
+		"it leaves, a peer stays":       {after: time.Second, leave: true, peers: []PeerHeard{{Domain: here}}},
+		"it leaves, one stays there":    {after: time.Second, leave: true, peers: []PeerHeard{{Domain: there}}},
+		"it leaves alone":               {after: time.Second, leave: true, least: 2 * perDomain, most: 2 * perDomain},
+		"all leave, one in each":        {after: time.Second, leave: true, peers: []PeerHeard{{Domain: there, Leaving: true}}, least: perDomain, most: perDomain},
+		"it leaves with one, one stays": {after: time.Second, leave: true, peers: []PeerHeard{{Domain: here, Leaving: true}, {Domain: there}}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := New(Settings{Name: "this", Domain: here, Tag: 1, MaxLease: time.Second}, simStart, 1)
+			var l WorkersListed
+			for n := range perDomain {
+				for _, d := range []namer.Domain{here, there} {
+					l.Workers = append(l.Workers, ListedWorker{
+						ID: namer.Worker(fmt.Sprintf("%s-%d", d, n)), Service: "s", Domain: d, Capacity: Size{Cores: 16000}, Born: 1,
+					})
+				}
+			}
+			events := []Event{l}
+			for n, p := range c.peers {
+				p.Name, p.Tag = fmt.Sprintf("peer %d", n), namer.RunTag(n+2)
+				events = append(events, p)
+			}
+			if c.leave {
+				s.Leave()
+			}
+			now := simStart
+			for passed := time.Duration(0); passed <= c.after; passed += 50 * time.Millisecond {
+				now = simStart.Add(passed)
+				s.Step(now, 1, events)
+				events = events[min(1, len(events)):]
+				for n, p := range c.peers {
+					p.Name, p.Tag = fmt.Sprintf("peer %d", n), namer.RunTag(n+2)
+					events = append(events, p)
+				}
+			}
+			must.GreaterEq(t, c.least, len(s.homes))
+			must.LessEq(t, c.most, len(s.homes))
+		})
+	}
+}
+
+// TestEndingInstance checks that an instance that ends takes only what can be
+// expected to end before it does.
+func TestEndingInstance(t *testing.T) {
+	cases := map[string]struct {
+		left    time.Duration
+		refused bool
+	}{
+		"it stays":             {0, false},
+		"it ends much later":   {5 * time.Second, false},
+		"it ends in the midst": {300 * time.Millisecond, true},
+		"it is over":           {1, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(3, site)
+			w.run(time.Second)
+			j := w.submit(longJob, w.instances[0])
+			j.spec.Left = c.left
+			w.run(time.Second + 50*time.Millisecond)
+			must.Eq(t, c.refused, j.answered > 0 && j.outcome == Unavailable)
+			must.Eq(t, !c.refused, j.started)
+		})
+	}
+}
--- a/internal/core/scheduler/job.go
+++ b/internal/core/scheduler/job.go
@@ -42,8 +42,10 @@
 	Target  time.Duration
 	// Patience is how long the caller waits.
 	Patience time.Duration
-	Payload  string
-	Steps    []StepSpec
+	// Left is how long this instance goes on; zero while it does not end.
+	Left    time.Duration
+	Payload string
+	Steps   []StepSpec
 }
 
 // StepSpec is a group of like tasks.
--- a/internal/core/scheduler/load_test.go
+++ b/internal/core/scheduler/load_test.go
@@ -84,6 +84,14 @@
 			w.usual(0.87, time.Second, 8*time.Second, uneven)
 			w.traffic(shortJob, 34*0.87*0.7, 3*time.Second, 7*time.Second, uneven)
 		}, 0.6},
+		"instances are replaced one after another": {largeSite, func(w *world) {
+			w.usual(0.9, time.Second, 10*time.Second, uneven)
+			for n, i := range w.instances {
+				at := time.Duration(n)*time.Second + time.Second
+				w.at(at, i.leave)
+				w.at(at+4*time.Second, i.start)
+			}
+		}, 0.9},
 		"twice what the workers can do": {largeSite, func(w *world) {
 			w.usual(2, time.Second, 8*time.Second, uneven)
 		}, 0.3},
--- a/internal/core/scheduler/peer.go
+++ b/internal/core/scheduler/peer.go
@@ -22,6 +22,8 @@
 	domain namer.Domain
 	tag    namer.RunTag
 	heard  time.Time
+	// leaving is set where the peer ends as soon as its jobs have.
+	leaving bool
 	// slots is the number of usual tasks that the peer says it has places for,
 	// less those asked for since.
 	slots  map[namer.Service]int
@@ -38,7 +40,10 @@
 	if p.tag != e.Tag {
 		delete(s.byTag, p.tag)
 	}
-	p.domain, p.tag, p.slots, p.heard = e.Domain, e.Tag, e.Slots, s.now
+	if p.leaving != e.Leaving {
+		s.relisted = true
+	}
+	p.domain, p.tag, p.slots, p.heard, p.leaving = e.Domain, e.Tag, e.Slots, s.now, e.Leaving
 	s.byTag[e.Tag] = p
 	s.changed = s.changed || len(e.Slots) > 0
 }
--- a/internal/core/scheduler/safety_test.go
+++ b/internal/core/scheduler/safety_test.go
@@ -31,6 +31,11 @@
 			w.at(at+900*time.Millisecond, i.start)
 		}
 	},
+	"instance leaves and is replaced": func(w *world, at time.Duration) {
+		i := w.instances[4]
+		w.at(at, i.leave)
+		w.at(at+7*time.Second, i.start)
+	},
 	"instance freezes and wakes": func(w *world, at time.Duration) {
 		i := w.instances[2]
 		w.at(at, func() { i.frozen = true })
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -68,6 +68,8 @@
 	homes, visited []*worker
 	// relisted is set where homes have to be dealt again.
 	relisted bool
+	// leaving is set once the instance ends as soon as its jobs have.
+	leaving bool
 	// key is the hash of the name.
 	key uint64
 	// changed is set where a task may find room that found none before.
--- a/internal/core/scheduler/world_test.go
+++ b/internal/core/scheduler/world_test.go
@@ -70,6 +70,10 @@
 	simStop     = 20 * time.Millisecond
 	simTick     = 10 * time.Millisecond
 	simGossip   = 50 * time.Millisecond
+	// simGrace is the time between the order to stop and the end by force,
+	// simShut that after which clients have gone elsewhere.
+	simGrace = 6 * time.Second
+	simShut  = 2500 * time.Millisecond
 )
 
 // simStart keeps virtual times positive.
@@ -335,7 +339,11 @@
 	up     bool
 	frozen bool
 	// mute instances are cut off from their peers, and from nothing else.
-	mute  bool
+	mute bool
+	// end is when a leaving instance ends by force, zero while it stays; one
+	// that is shut takes no more jobs.
+	end   time.Duration
+	shut  bool
 	inbox []Event
 	calls namer.Call
 	// clients waits for answers by call.
@@ -351,7 +359,7 @@
 
 func (i *simInstance) start() {
 	i.life++
-	i.up, i.frozen = true, false
+	i.up, i.frozen, i.shut, i.end = true, false, false, 0
 	i.clients = make(map[namer.Call]func(Answer))
 	i.inbox = nil
 	w := i.w
@@ -386,7 +394,7 @@
 		return
 	}
 	if i.up && !i.frozen && !i.mute {
-		e := PeerHeard{Name: i.core.Name, Domain: i.domain, Tag: i.core.Tag, Slots: i.core.Slots()}
+		e := PeerHeard{Name: i.core.Name, Domain: i.domain, Tag: i.core.Tag, Slots: i.core.Slots(), Leaving: i.end > 0}
 		for _, o := range i.w.instances {
 			if o != i && o.up && !o.mute && !i.w.severed(i.domain, o.domain) {
 				life := o.life
@@ -397,6 +405,33 @@
 	i.w.after(simGossip, func() { i.gossip(life) })
 }
 
+// leave ends the instance as its operator asks: it takes jobs for a while, and
+// goes once all are answered.
+func (i *simInstance) leave() {
+	if !i.up || i.end > 0 {
+		return
+	}
+	i.end = i.w.now + simGrace
+	i.core.Leave()
+	life := i.life
+	var look func()
+	look = func() {
+		if i.life != life {
+			return
+		}
+		i.shut = true
+		if len(i.clients) == 0 || i.w.now >= i.end {
+			if len(i.clients) > 0 {
+				i.w.fault("instance %s ended with %d calls open", i.name, len(i.clients))
+			}
+			i.kill()
+			return
+		}
+		i.w.after(simTick, look)
+	}
+	i.w.after(simShut, look)
+}
+
 // kill ends the instance at once; its clients' connections break.
 func (i *simInstance) kill() {
 	i.up = false
@@ -626,6 +661,9 @@
 
 func (w *world) try(j *simJob, at *simInstance) {
 	j.tries++
+	for at.shut && slices.ContainsFunc(w.instances, func(i *simInstance) bool { return !i.shut }) {
+		at = w.instances[w.rng.IntN(len(w.instances))]
+	}
 	if !at.up {
 		w.retry(j)
 		return
@@ -641,7 +679,13 @@
 		heard = true
 		w.answered(j, a)
 	}
-	w.after(w.crossDelay, func() { at.push(life, JobArrived{Call: call, Job: j.spec}) })
+	w.after(w.crossDelay, func() {
+		spec := j.spec
+		if at.end > 0 {
+			spec.Left = max(1, at.end-w.now)
+		}
+		at.push(life, JobArrived{Call: call, Job: spec})
+	})
 	w.after(j.spec.Patience, func() {
 		if heard {
 			return
--- a/internal/edge/driver/driver.go
+++ b/internal/edge/driver/driver.go
@@ -67,6 +67,7 @@
 	status  Status
 	pending map[namer.Kind]int
 	retag   *namer.RunTag
+	leave   bool
 	post    post
 	hellos  []scheduler.PeerHeard
 }
@@ -209,6 +210,13 @@
 	d.retag = &tag
 }
 
+// Leave has the instance's workers go to other homes, while its jobs end.
+func (d *Driver) Leave() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.leave = true
+}
+
 func (d *Driver) run() {
 	timer := time.NewTimer(idleTick)
 	defer timer.Stop()
@@ -231,7 +239,7 @@
 			d.log.Warn().Int("event", int(eventer.ClockJumped)).Dur("pause", now.Sub(last)).Msg(eventer.ClockJumped.Name())
 		}
 		last = now
-		d.applyTag()
+		d.applyOrders()
 		for _, a := range d.core.Step(now, clocker.Wall(), batch) {
 			d.perform(a)
 		}
@@ -261,14 +269,18 @@
 	return batch
 }
 
-func (d *Driver) applyTag() {
+// applyOrders hands what others have asked for to the core.
+func (d *Driver) applyOrders() {
 	d.mu.Lock()
-	tag := d.retag
-	d.retag = nil
+	tag, leave := d.retag, d.leave
+	d.retag, d.leave = nil, false
 	d.mu.Unlock()
 	if tag != nil {
 		d.core.Retag(*tag)
 	}
+	if leave {
+		d.core.Leave()
+	}
 }
 
 // note publishes a summary of the core.
--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -42,8 +42,8 @@
 	core  core
 	log   zerolog.Logger
 	table atomic.Pointer[matcher.Table]
-	// leaving is set once clients are to go elsewhere.
-	leaving atomic.Bool
+	// leaving is when this instance ends; nil while it does not.
+	leaving atomic.Pointer[time.Time]
 }
 
 // New returns a gateway without a configuration.
@@ -73,12 +73,22 @@
 	return t.Version, true
 }
 
-// Leave has answers tell their clients to open connections elsewhere.
-func (g *Gateway) Leave() { g.leaving.Store(true) }
+// Leave has answers tell their clients to open connections elsewhere, and takes
+// no job that can't be expected to end before the instance does.
+func (g *Gateway) Leave(end time.Time) { g.leaving.Store(&end) }
+
+// left is how long the instance goes on; zero while it does not end.
+func (g *Gateway) left() time.Duration {
+	end := g.leaving.Load()
+	if end == nil {
+		return 0
+	}
+	return max(1, time.Until(*end))
+}
 
 // ServeHTTP serves one call.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if g.leaving.Load() {
+	if g.leaving.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	t := g.table.Load()
@@ -136,7 +146,7 @@
 	answer, err := g.core.Submit(r.Context(), scheduler.JobSpec{
 		Name: name, Kind: route.Name, Service: route.Service, Priority: route.Priority,
 		MaxAttempts: route.MaxAttempts, Stretch: route.Stretch, Target: route.Target,
-		Patience: patience(r, route), Payload: req.Payload, Steps: req.Steps,
+		Patience: patience(r, route), Left: g.left(), Payload: req.Payload, Steps: req.Steps,
 	})
 	if err != nil {
 		// The caller has gone, or the instance ends and the connection with it.
--- a/internal/edge/gateway/gateway_test.go
+++ b/internal/edge/gateway/gateway_test.go
@@ -108,11 +108,14 @@
 }
 
 func TestLeavingClosesConnections(t *testing.T) {
-	g := New(&fakeCore{answer: scheduler.Answer{Outcome: scheduler.Completed}}, zerolog.Nop())
+	core := &fakeCore{answer: scheduler.Answer{Outcome: scheduler.Completed}}
+	g := New(core, zerolog.Nop())
 	g.Apply(config(1))
 	must.Eq(t, "", call(g, "POST", "h.example", "/p/"+jobID, jobBody).Header().Get("Connection"))
-	g.Leave()
+	must.Eq(t, 0, core.got.Left)
+	g.Leave(time.Now().Add(time.Hour))
 	w := call(g, "POST", "h.example", "/p/"+jobID, jobBody)
 	must.Eq(t, http.StatusOK, w.Code)
 	must.Eq(t, "close", w.Header().Get("Connection"))
+	must.Between(t, time.Minute, core.got.Left, time.Hour)
 }
--- a/internal/edge/gossiper/gossiper.go
+++ b/internal/edge/gossiper/gossiper.go
@@ -31,6 +31,10 @@
 	maxPacket = 1400
 	// maxNamed bounds how many peers one datagram names.
 	maxNamed = 24
+	// namedEvery is how often a hello names peers while nobody new is met, and
+	// spreadRounds how many hellos in a row do after that.
+	namedEvery   = 10
+	spreadRounds = 4
 	// maxRead is the largest datagram that there is.
 	maxRead  = 64 << 10
 	protocol = 1
@@ -47,6 +51,8 @@
 	// Config is the version in force, List how far the list of workers is known.
 	Config uint64 `cbor:"6,keyasint"`
 	List   uint64 `cbor:"7,keyasint"`
+	// Leaving is set where the instance ends as soon as its jobs have.
+	Leaving bool `cbor:"9,keyasint,omitempty"`
 	// Peers are addresses of instances that may live.
 	Peers []netip.Addr `cbor:"8,keyasint,omitempty"`
 	// From is the address that the hello came from.
@@ -67,9 +73,16 @@
 	Told(from string, l scheduler.Letter)
 }
 
+// packetConn is what is needed of a socket.
+type packetConn interface {
+	ReadFromUDPAddrPort(b []byte) (int, netip.AddrPort, error)
+	WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error)
+	Close() error
+}
+
 // Gossiper sends and takes datagrams. Build one with New.
 type Gossiper struct {
-	conn *net.UDPConn
+	conn packetConn
 	port uint16
 	own  netip.Addr
 	name string
@@ -83,7 +96,8 @@
 	peers map[netip.Addr]time.Time
 	// names are the addresses of peers that were heard.
 	names map[string]netip.Addr
-	turn  int
+	// quietRounds counts the hellos to all peers since somebody new was met.
+	quietRounds int
 }
 
 // New opens the socket and starts. The name is that of this incarnation.
@@ -96,10 +110,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
-	g := &Gossiper{
-		conn: conn, port: uint16(port), own: ip, name: name, say: say, to: to,
-		done: make(chan struct{}), peers: make(map[netip.Addr]time.Time), names: make(map[string]netip.Addr),
-	}
+	g := newGossiper(name, ip, uint16(port), conn, say, to)
 	g.Seed(seeds)
 	g.wg.Add(2)
 	go func() {
@@ -113,6 +124,13 @@
 	return g, nil
 }
 
+func newGossiper(name string, own netip.Addr, port uint16, conn packetConn, say func() Hello, to Receiver) *Gossiper {
+	return &Gossiper{
+		conn: conn, port: port, own: own, name: name, say: say, to: to,
+		done: make(chan struct{}), peers: make(map[netip.Addr]time.Time), names: make(map[string]netip.Addr),
+	}
+}
+
 // Close stops and waits.
 func (g *Gossiper) Close() {
 	close(g.done)
@@ -129,16 +147,32 @@
 	}
 }
 
-// meet notes a peer, and whether it was heard itself.
-func (g *Gossiper) meet(ip netip.Addr, heard bool) {
+// meet notes a peer, and whether it was heard itself. It reports whether the
+// address is new.
+func (g *Gossiper) meet(ip netip.Addr, heard bool) bool {
 	if ip == g.own || !ip.Is4() {
-		return
+		return false
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if _, known := g.peers[ip]; heard || !known {
+	_, known := g.peers[ip]
+	if heard || !known {
 		g.peers[ip] = time.Now()
 	}
+	if !known {
+		g.quietRounds = 0
+	}
+	return !known
+}
+
+// hearName notes the address of a peer's name. It reports whether the name is
+// new, which it is also where an instance has started again.
+func (g *Gossiper) hearName(name string, ip netip.Addr) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_, known := g.names[name]
+	g.names[name] = ip
+	return !known
 }
 
 // Peers lists the addresses that are written to.
@@ -166,7 +200,7 @@
 }
 
 func (g *Gossiper) runSender() {
-	t := time.NewTimer(helloEvery)
+	t := time.NewTimer(0)
 	defer t.Stop()
 	for {
 		select {
@@ -182,15 +216,33 @@
 // send says hello to all peers, and returns how many there are.
 func (g *Gossiper) send() int {
 	peers := g.Peers()
+	g.mu.Lock()
+	named := g.quietRounds < spreadRounds || g.quietRounds%namedEvery == 0
+	g.quietRounds++
+	g.mu.Unlock()
+	g.hello(peers, named)
+	return len(peers)
+}
+
+// greet says hello to peers that were not known before at once, so that all
+// instances of a site that starts know each other within a few round trips.
+func (g *Gossiper) greet(newcomers []netip.Addr) {
+	if len(newcomers) > 0 {
+		g.hello(newcomers, true)
+	}
+}
+
+// hello says hello to some peers, and names others that may live.
+func (g *Gossiper) hello(to []netip.Addr, named bool) {
 	h := g.say()
-	if g.turn++; g.turn%10 == 0 {
+	if named {
+		peers := g.Peers()
 		h.Peers = peers[:min(len(peers), maxNamed)]
 	}
 	b := encode(&packet{Protocol: protocol, From: g.name, Hello: &h})
-	for _, ip := range peers {
+	for _, ip := range to {
 		g.write(b, ip)
 	}
-	return len(peers)
 }
 
 // Send sends a letter to a peer that was heard, in as many datagrams as it
@@ -237,14 +289,26 @@
 		if err != nil {
 			continue
 		}
-		var p packet
-		if cbor.Unmarshal(buf[:n], &p) != nil || p.Protocol != protocol || p.From == "" {
+		p, err := decode(buf[:n])
+		if err != nil {
+			// Whoever sends what isn't a packet is no peer.
 			continue
 		}
-		g.take(&p, from.Addr().Unmap())
+		g.take(p, from.Addr().Unmap())
 	}
 }
 
+func decode(b []byte) (*packet, error) {
+	var p packet
+	if err := cbor.Unmarshal(b, &p); err != nil {
+		return nil, fmt.Errorf("decode a packet: %w", err)
+	}
+	if p.Protocol != protocol || p.From == "" {
+		return nil, fmt.Errorf("packet of protocol %d from %q", p.Protocol, p.From)
+	}
+	return &p, nil
+}
+
 func (g *Gossiper) take(p *packet, from netip.Addr) {
 	if p.Letter != nil {
 		g.to.Told(p.From, *p.Letter)
@@ -253,12 +317,15 @@
 		return
 	}
 	p.Hello.Name, p.Hello.From = p.From, from
-	g.meet(from, true)
-	g.mu.Lock()
-	g.names[p.From] = from
-	g.mu.Unlock()
+	var newcomers []netip.Addr
+	if newAddress, newName := g.meet(from, true), g.hearName(p.From, from); newAddress || newName {
+		newcomers = append(newcomers, from)
+	}
 	for _, ip := range p.Hello.Peers {
-		g.meet(ip, false)
+		if g.meet(ip, false) {
+			newcomers = append(newcomers, ip)
+		}
 	}
 	g.to.Heard(*p.Hello)
+	g.greet(newcomers)
 }
--- a/internal/edge/starter/starter.go
+++ b/internal/edge/starter/starter.go
@@ -39,6 +39,9 @@
 	// leaveAfter is how long a leaving instance takes new calls: the balancer
 	// asks each second and needs two misses.
 	leaveAfter = 2500 * time.Millisecond
+	// stopPatience is how long a leaving instance waits for proof that runs
+	// which nobody wants have stopped; after that its peers see to them.
+	stopPatience = 400 * time.Millisecond
 	// endMargin is kept before the end by force.
 	endMargin = 700 * time.Millisecond
 	// idlePoll is the pace of looks at whether all work has ended.
@@ -225,7 +228,7 @@
 	st := n.driver.Status()
 	return gossiper.Hello{
 		Domain: n.settings.Domain, Tag: namer.RunTag(n.tag.Load()),
-		Slots: st.Slots, Config: config, List: list,
+		Slots: st.Slots, Config: config, List: list, Leaving: n.leaving.Load(),
 	}
 }
 
@@ -247,7 +250,7 @@
 	if !known {
 		n.log.Warn().Int("event", int(eventer.PeerHeard)).Str("peer", h.Name).Msg(eventer.PeerHeard.Name())
 	}
-	n.driver.Hear(scheduler.PeerHeard{Name: h.Name, Domain: h.Domain, Tag: h.Tag, Slots: h.Slots})
+	n.driver.Hear(scheduler.PeerHeard{Name: h.Name, Domain: h.Domain, Tag: h.Tag, Slots: h.Slots, Leaving: h.Leaving})
 	n.follower.Fetch(netip.AddrPortFrom(h.From, uint16(n.settings.PeerPort)).String(), h.Config, h.List)
 }
 
@@ -300,24 +303,24 @@
 	n.log.Warn().Int("event", int(eventer.Reloaded)).Int("seeds", len(s.Seeds)).Msg(eventer.Reloaded.Name())
 }
 
-// Drain has clients go elsewhere, and waits until all work has ended or the
-// time that the platform grants is nearly over.
+// Drain has clients and workers go elsewhere, and waits until all calls are
+// answered or the time that the platform grants is nearly over.
 func (n *Instance) Drain() {
 	n.log.Warn().Int("event", int(eventer.Draining)).Msg(eventer.Draining.Name())
 	began := time.Now()
+	end := began.Add(max(n.settings.Grace/2, n.settings.Grace-endMargin))
 	n.leaving.Store(true)
-	n.gateway.Leave()
-	for time.Since(began) < n.settings.Grace-endMargin {
-		if time.Since(began) >= leaveAfter && n.driver.Status().Idle {
-			break
-		}
-		time.Sleep(idlePoll)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), max(endMargin/2, n.settings.Grace-endMargin-time.Since(began)))
+	n.gateway.Leave(end)
+	n.driver.Leave()
+	time.Sleep(min(leaveAfter, time.Until(end)/2))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := n.front.Shutdown(ctx); err != nil {
 		n.log.Warn().Err(err).Msg("calls were cut off at the end of the grace time")
 	}
+	for answered := time.Now(); time.Since(answered) < stopPatience && !n.driver.Status().Idle; {
+		time.Sleep(idlePoll)
+	}
 	n.log.Warn().Int("event", int(eventer.Drained)).Msg(eventer.Drained.Name())
 }
 
