scheduler: an instance that hears nobody yet waits before it takes all workers

Change: an instance without any peer takes workers only 0.4 s after its start, and has at most 48 first polls under way at a time. Tests: TestHomes (it hears nobody yet), TestFirstLooks; both seen failing.

--- a/internal/core/scheduler/home.go
+++ b/internal/core/scheduler/home.go
@@ -20,10 +20,10 @@
 // An instance that has just started leaves the workers to others until it knows
 // its peers: if a whole site starts, each instance would poll most workers else.
 func (s *Scheduler) dealHomes() {
-	if s.now.Sub(s.started) < settleTime {
+	alive := s.sortedPeers()
+	if up := s.now.Sub(s.started); up < settleTime || up < aloneTime && len(alive) == 0 {
 		return
 	}
-	alive := s.sortedPeers()
 	if slices.Equal(alive, s.alive) && !s.relisted {
 		return
 	}
@@ -134,6 +134,9 @@
 	// before it takes workers: hellos come each 50 to 130 ms, and those that it
 	// is greeted with at once.
 	settleTime = 100 * time.Millisecond
+	// aloneTime is how long it waits where it hears nobody: where a whole site
+	// starts, the instances that all others know may be the last, by 0.3 s.
+	aloneTime = 400 * time.Millisecond
 	// homeSilence is how long a home may be silent before an instance polls the
 	// workers where it has runs itself.
 	homeSilence = 250 * time.Millisecond
--- a/internal/core/scheduler/home_test.go
+++ b/internal/core/scheduler/home_test.go
@@ -22,6 +22,8 @@
 		least, most int
 	}{
 		"it has just started":           {after: 50 * time.Millisecond},
+		"it hears nobody yet":           {after: 300 * time.Millisecond},
+		"it hears a peer":               {after: 300 * time.Millisecond, peers: []PeerHeard{{Domain: there}}, least: perDomain, most: perDomain},
 		"it is alone":                   {after: time.Second, least: 2 * perDomain, most: 2 * perDomain},
 		"a peer in the other domain":    {after: time.Second, peers: []PeerHeard{{Domain: there}}, least: perDomain, most: perDomain},
 		"a peer in its domain":          {after: time.Second, peers: []PeerHeard{{Domain: here}}, least: 1, most: 2*perDomain - 1},
@@ -67,6 +69,23 @@
 	}
 }
 
+// TestFirstLooks checks that an instance that takes all workers of a large site
+// polls them a few at a time, and all of them soon.
+func TestFirstLooks(t *testing.T) {
+	w := newWorld(5, siteSize{domains: 1, perDomain: 1, workersPerDomain: 350})
+	for w.now < 2*time.Second {
+		w.run(w.now + time.Millisecond)
+		looks := 0
+		for _, o := range w.instances[0].core.homes {
+			if o.polling && !o.looked {
+				looks++
+			}
+		}
+		must.LessEq(t, maxLooks, looks)
+	}
+	must.Eq(t, 350, w.instances[0].core.Usable())
+}
+
 // TestEndingInstance checks that an instance that ends takes only what can be
 // expected to end before it does.
 func TestEndingInstance(t *testing.T) {
--- a/internal/core/scheduler/poll.go
+++ b/internal/core/scheduler/poll.go
@@ -20,6 +20,9 @@
 	// lostPause doubles with each poll that is lost, up to maxLostPause.
 	lostPause    = 25 * time.Millisecond
 	maxLostPause = 400 * time.Millisecond
+	// maxLooks bounds the first polls of workers that are under way: each opens
+	// a connection, of which a fifth of a core opens some in a millisecond.
+	maxLooks = 48
 	// foreignEndAge is how long another instance's end is left for it to see;
 	// it polls at least every pollWait.
 	foreignEndAge = 800 * time.Millisecond
@@ -27,8 +30,14 @@
 
 // runPolls sends the polls that are due.
 func (s *Scheduler) runPolls() {
+	looks := 0
 	s.eachNear(func(w *worker) {
-		if w.polling || s.now.Before(w.nextPoll) {
+		if w.polling && !w.looked {
+			looks++
+		}
+	})
+	s.eachNear(func(w *worker) {
+		if w.polling || s.now.Before(w.nextPoll) || !w.looked && looks >= maxLooks {
 			return
 		}
 		if !s.pollsWorker(w) {
@@ -37,6 +46,9 @@
 			}
 			return
 		}
+		if !w.looked {
+			looks++
+		}
 		w.dropPlaces(s.now)
 		s.poll(w)
 	})
