scheduler: homes in proportion to processor power

At the same concurrency (579 runs) the small ones took up to 59 ms (p90) to have a start confirmed.

Change: weighted rendezvous hashing by the power that the settings tell; hellos carry it. Alike instances keep the homes that they had. Test: TestPower.

--- a/internal/core/scheduler/event.go
+++ b/internal/core/scheduler/event.go
@@ -141,6 +141,8 @@
 	Slots map[namer.Service]int
 	// Leaving is set where it ends as soon as its jobs have.
 	Leaving bool
+	// Power is the share of a processor that it may use.
+	Power namer.MilliCores
 }
 
 // Told is a peer's letter.
--- a/internal/core/scheduler/home.go
+++ b/internal/core/scheduler/home.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -14,7 +15,8 @@
 // lock: what keeps runs apart are their numbers, leases and proven stops.
 
 // dealHomes gives each worker its home: of the living instances of its domain,
-// or of all where there is none, the first by rendezvous hash. Nothing changes
+// or of all where there is none, the first by rendezvous hash, weighed by processor
+// power. Nothing changes
 // while the same instances live and the same workers are listed.
 //
 // An instance that has just started leaves the workers to others until it knows
@@ -78,9 +80,10 @@
 // Instances that are leaving are nobody's home while others stay.
 func (s *Scheduler) homeOf(w *worker) *peer {
 	var best *peer
-	bestClaim := s.claimOf(s.key, s.Domain, s.leaving, w)
+	bestClaim := claim{stays: !s.leaving, inDomain: s.Domain == w.domain, right: right(s.key, w.key, s.Power)}
 	for _, p := range s.alive {
-		if c := s.claimOf(p.key, p.domain, p.leaving, w); c.beats(bestClaim) {
+		c := claim{stays: !p.leaving, inDomain: p.domain == w.domain, right: right(p.key, w.key, p.power)}
+		if c.beats(bestClaim) {
 			best, bestClaim = p, c
 		}
 	}
@@ -91,11 +94,7 @@
 // important first.
 type claim struct {
 	stays, inDomain bool
-	right           uint64
-}
-
-func (s *Scheduler) claimOf(key uint64, in namer.Domain, leaving bool, w *worker) claim {
-	return claim{stays: !leaving, inDomain: in == w.domain, right: right(key, w.key)}
+	right           float64
 }
 
 func (c claim) beats(o claim) bool {
@@ -149,3 +148,22 @@
 func (s *Scheduler) overdue(r *run) bool {
 	return r.confirmed && s.now.Sub(r.begun) > time.Duration(overdueFactor*float64(r.predicted))+overdueSlack
 }
+
+// defaultPower stands for the power of an instance that doesn't tell it.
+const defaultPower namer.MilliCores = 1000
+
+// right is the right of an instance to a worker: by the hashes of their names,
+// which the finalizer of SplitMix64 mixes, in proportion to the instance's
+// power (weighted rendezvous hashing).
+func right(instance, worker uint64, power namer.MilliCores) float64 {
+	x := instance ^ (worker * 0x9e3779b97f4a7c15)
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	x ^= x >> 31
+	if power <= 0 {
+		power = defaultPower
+	}
+	const span = 1 << 53
+	chance := (float64(x>>11) + 0.5) / span
+	return -float64(power) / math.Log(chance)
+}
--- a/internal/core/scheduler/home_test.go
+++ b/internal/core/scheduler/home_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/shoenig/test/must"
 
 	"github.com/heatherslip/heatherslip/internal/wire/namer"
@@ -69,6 +70,41 @@
 	}
 }
 
+// TestPower checks that workers are dealt in proportion to the power of their
+// homes, and as by the hash alone where all have the same.
+func TestPower(t *testing.T) {
+	const workers = 4000
+	cases := map[string]struct {
+		powers []namer.MilliCores
+		// share is that of the first instance, within a tenth.
+		share float64
+	}{
+		"all alike":        {[]namer.MilliCores{200, 200, 200, 200}, 0.25},
+		"nobody tells":     {[]namer.MilliCores{0, 0, 0, 0}, 0.25},
+		"one is strong":    {[]namer.MilliCores{800, 200, 200, 200}, 0.571},
+		"one is weak":      {[]namer.MilliCores{192, 800, 800}, 0.107},
+		"one doesn't tell": {[]namer.MilliCores{0, 1000, 1000}, 0.333},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			first := 0
+			for n := range workers {
+				key := xxhash.Sum64String(fmt.Sprintf("worker %d", n))
+				best, bestRight := -1, 0.0
+				for i, p := range c.powers {
+					if r := right(xxhash.Sum64String(fmt.Sprintf("instance %d", i)), key, p); best < 0 || r > bestRight {
+						best, bestRight = i, r
+					}
+				}
+				if best == 0 {
+					first++
+				}
+			}
+			must.Between(t, 0.9*c.share, float64(first)/workers, 1.1*c.share)
+		})
+	}
+}
+
 // TestFirstLooks checks that an instance that takes all workers of a large site
 // polls them a few at a time, and all of them soon.
 func TestFirstLooks(t *testing.T) {
--- a/internal/core/scheduler/peer.go
+++ b/internal/core/scheduler/peer.go
@@ -22,6 +22,7 @@
 	domain namer.Domain
 	tag    namer.RunTag
 	heard  time.Time
+	power  namer.MilliCores
 	// leaving is set where the peer ends as soon as its jobs have.
 	leaving bool
 	// slots is the number of usual tasks that the peer says it has places for,
@@ -40,10 +41,11 @@
 	if p.tag != e.Tag {
 		delete(s.byTag, p.tag)
 	}
-	if p.leaving != e.Leaving {
+	if p.leaving != e.Leaving || p.power != e.Power {
 		s.relisted = true
 	}
-	p.domain, p.tag, p.slots, p.heard, p.leaving = e.Domain, e.Tag, e.Slots, s.now, e.Leaving
+	p.domain, p.tag, p.slots, p.heard = e.Domain, e.Tag, e.Slots, s.now
+	p.leaving, p.power = e.Leaving, e.Power
 	s.byTag[e.Tag] = p
 	s.changed = s.changed || len(e.Slots) > 0
 }
--- a/internal/core/scheduler/place.go
+++ b/internal/core/scheduler/place.go
@@ -230,15 +230,6 @@
 	return n
 }
 
-// right is the right of an instance to a worker, by the hashes of their names;
-// the finalizer of SplitMix64 mixes the two.
-func right(instance, worker uint64) uint64 {
-	x := instance ^ (worker * 0x9e3779b97f4a7c15)
-	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
-	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
-	return x ^ (x >> 31)
-}
-
 // start sends a task to a worker.
 func (s *Scheduler) start(t *task, w *worker) {
 	s.runCount++
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -25,6 +25,9 @@
 	Domain namer.Domain
 	// Tag marks the runs of this instance. No other instance that lives has it.
 	Tag namer.RunTag
+	// Power is the share of a processor that the instance may use; zero is not
+	// told.
+	Power namer.MilliCores
 	// MaxLease is the longest lease that workers grant.
 	MaxLease time.Duration
 	// ResubmitAfter is how long a caller that lost its connection waits before
--- a/internal/edge/gossiper/gossiper.go
+++ b/internal/edge/gossiper/gossiper.go
@@ -53,6 +53,8 @@
 	List   uint64 `cbor:"7,keyasint"`
 	// Leaving is set where the instance ends as soon as its jobs have.
 	Leaving bool `cbor:"9,keyasint,omitempty"`
+	// Power is the share of a processor that the instance may use.
+	Power namer.MilliCores `cbor:"10,keyasint,omitempty"`
 	// Peers are addresses of instances that may live.
 	Peers []netip.Addr `cbor:"8,keyasint,omitempty"`
 	// From is the address that the hello came from.
--- a/internal/edge/starter/starter.go
+++ b/internal/edge/starter/starter.go
@@ -90,7 +90,7 @@
 	}
 	n.tag.Store(newTag())
 	n.driver = driver.New(scheduler.Settings{
-		Name: n.name, Domain: s.Domain, Tag: namer.RunTag(n.tag.Load()),
+		Name: n.name, Domain: s.Domain, Tag: namer.RunTag(n.tag.Load()), Power: s.Power,
 		MaxLease: s.MaxLease, ResubmitAfter: s.ResubmitAfter,
 	}, log)
 	n.gateway = gateway.New(n.driver, log)
@@ -229,6 +229,7 @@
 	return gossiper.Hello{
 		Domain: n.settings.Domain, Tag: namer.RunTag(n.tag.Load()),
 		Slots: st.Slots, Config: config, List: list, Leaving: n.leaving.Load(),
+		Power: n.settings.Power,
 	}
 }
 
@@ -250,7 +251,7 @@
 	if !known {
 		n.log.Warn().Int("event", int(eventer.PeerHeard)).Str("peer", h.Name).Msg(eventer.PeerHeard.Name())
 	}
-	n.driver.Hear(scheduler.PeerHeard{Name: h.Name, Domain: h.Domain, Tag: h.Tag, Slots: h.Slots, Leaving: h.Leaving})
+	n.driver.Hear(scheduler.PeerHeard{Name: h.Name, Domain: h.Domain, Tag: h.Tag, Slots: h.Slots, Leaving: h.Leaving, Power: h.Power})
 	n.follower.Fetch(netip.AddrPortFrom(h.From, uint16(n.settings.PeerPort)).String(), h.Config, h.List)
 }
 
