explain: refusals tell what the instance knew; lines without a number are left out

A refusal says "no room in time" both in a flood and at an instance that hears nobody. The line now has the instances heard, the workers here that may take a start and the other homes asked; a worker that was never heard has no age (it was written as 9.2e12 ms). explain leaves out lines without a number, such as failed polls, which buried the story of a job.

--- a/internal/cli/commander/explain.go
+++ b/internal/cli/commander/explain.go
@@ -110,7 +110,12 @@
 			continue
 		}
 		var fields map[string]any
-		if json.Unmarshal(in.Bytes()[begin:], &fields) != nil || fields["job"] != nil && fields["job"] != c.Job {
+		if json.Unmarshal(in.Bytes()[begin:], &fields) != nil || fields["event"] == nil {
+			// Not a line of an instance, or one without a number, which tells of
+			// no decision.
+			continue
+		}
+		if fields["job"] != nil && fields["job"] != c.Job {
 			continue
 		}
 		source := name
--- a/internal/core/scheduler/action.go
+++ b/internal/core/scheduler/action.go
@@ -93,6 +93,10 @@
 	Predicted time.Duration
 	// Waiting is the number of tasks that waited for room.
 	Waiting int
+	// Peers is the number of instances heard, Usable that of workers that this
+	// instance is the home of and may start on, Asked that of other homes asked
+	// for a place; told where a job is refused.
+	Peers, Usable, Asked int
 	// Response is the time since the job arrived.
 	Response time.Duration
 	// Objective is the response time that the job asks for.
--- a/internal/core/scheduler/admission.go
+++ b/internal/core/scheduler/admission.go
@@ -207,6 +207,7 @@
 func (s *Scheduler) refuse(j *job, o Outcome, reason string) {
 	s.decide(eventer.JobRefused, j, Decision{
 		Reason: reason, Waiting: s.Waiting(), Predicted: j.chain(s.kind(j.Kind).ratio),
+		Peers: len(s.alive), Usable: s.Usable(), Asked: j.homesAsked(),
 	})
 	s.answer(j, Answer{Outcome: o, RetryAfter: retryAfter, Reason: reason})
 	s.end(j)
--- a/internal/core/scheduler/job.go
+++ b/internal/core/scheduler/job.go
@@ -174,6 +174,15 @@
 	return n
 }
 
+// homesAsked is the largest number of other homes asked for one of the tasks.
+func (j *job) homesAsked() int {
+	asked := 0
+	for _, t := range j.tasks {
+		asked = max(asked, len(t.asked))
+	}
+	return asked
+}
+
 // ready reports whether the steps that a task comes after have ended.
 func (j *job) ready(t *task) bool {
 	for _, before := range t.step.After {
--- a/internal/core/scheduler/poll.go
+++ b/internal/core/scheduler/poll.go
@@ -107,7 +107,7 @@
 	fresh := s.now.Sub(w.heard) < pollWait+busyPollWait
 	if s.silent(w) || !w.looked {
 		s.changed = true
-		s.do(Decision{Event: eventer.WorkerHeard, Worker: w.id, Age: s.now.Sub(w.heard)})
+		s.do(Decision{Event: eventer.WorkerHeard, Worker: w.id, Age: s.silence(w)})
 	}
 	w.heard, w.suspect, w.lost, w.looked = s.now, false, 0, true
 	w.setClock(s.now, e.Clock)
@@ -127,7 +127,7 @@
 		w.looked = false
 	}
 	if !w.suspect {
-		s.do(Decision{Event: eventer.WorkerSilent, Worker: w.id, Age: s.now.Sub(w.heard)})
+		s.do(Decision{Event: eventer.WorkerSilent, Worker: w.id, Age: s.silence(w)})
 	}
 	w.suspect = true
 	s.stopLost(w, e)
--- a/internal/core/scheduler/worker.go
+++ b/internal/core/scheduler/worker.go
@@ -134,6 +134,14 @@
 	return w.suspect || w.home == nil && s.now.Sub(w.heard) > silentAfter
 }
 
+// silence is how long ago a worker was heard last; zero where it never was.
+func (s *Scheduler) silence(w *worker) time.Duration {
+	if w.heard.IsZero() {
+		return 0
+	}
+	return s.now.Sub(w.heard)
+}
+
 // usable reports whether a worker may get a start now.
 func (s *Scheduler) usable(w *worker) bool {
 	return w.listed && w.looked && !w.draining && w.orphans == 0 && !s.silent(w) &&
--- a/internal/edge/driver/log.go
+++ b/internal/edge/driver/log.go
@@ -56,5 +56,8 @@
 	if a.Waiting != 0 {
 		l = l.Int("waiting", a.Waiting)
 	}
+	if a.Event == eventer.JobRefused {
+		l = l.Int("peers", a.Peers).Int("usable", a.Usable).Int("asked", a.Asked)
+	}
 	l.Msg(a.Event.Name())
 }
--- a/internal/wire/eventer/events.go
+++ b/internal/wire/eventer/events.go
@@ -148,7 +148,7 @@
 		{MinionLeaving, "minion leaving", "A minion gets no new request."},
 		{JobTaken, "job taken", "A job whose caller waits was taken in; the line has its objective, the predicted run time and what waits before it."},
 		{JobAttached, "job attached", "A client has sent a job again that is open here; both calls get the same answer."},
-		{JobRefused, "job refused", "Nothing of the job has run or will; the caller was told when to come back."},
+		{JobRefused, "job refused", "Nothing of the job has run or will; the caller was told when to come back. The line has the instances heard, the workers of this instance that may take a start, and the other homes asked."},
 		{JobCompleted, "job completed", "All tasks have ended well and the caller has the answer."},
 		{JobFailed, "job failed", "A task of the job has failed in each of its attempts."},
 		{JobGivenUp, "job given up", "The job can't end in time any more; what runs of it is stopped and the caller may hand it in again."},
