--- a/internal/core/scheduler/home_test.go
+++ b/internal/core/scheduler/home_test.go
@@ -54,10 +54,8 @@
 			if c.leave {
 				s.Leave()
 			}
-			now := simStart
 			for passed := time.Duration(0); passed <= c.after; passed += 50 * time.Millisecond {
-				now = simStart.Add(passed)
-				s.Step(now, 1, events)
+				s.Step(simStart.Add(passed), 1, events)
 				events = events[min(1, len(events)):]
 				for n, p := range c.peers {
 					p.Name, p.Tag = fmt.Sprintf("peer %d", n), namer.RunTag(n+2)
