--- a/internal/core/scheduler/home.go
+++ b/internal/core/scheduler/home.go
@@ -15,12 +15,12 @@
 // lock: what keeps runs apart are their numbers, leases and proven stops.
 
 // dealHomes gives each worker its home: of the living instances of its domain,
-// or of all where there is none, the first by rendezvous hash, weighed by processor
-// power. Nothing changes
-// while the same instances live and the same workers are listed.
+// or of all where there is none, the first by rendezvous hash, in proportion to
+// their processor power. Nothing changes while the same instances live and the
+// same workers are listed.
 //
 // An instance that has just started leaves the workers to others until it knows
-// its peers: if a whole site starts, each instance would poll most workers else.
+// its peers: else, where a whole site starts, each would poll most workers.
 func (s *Scheduler) dealHomes() {
 	alive := s.sortedPeers()
 	if up := s.now.Sub(s.started); up < settleTime || up < aloneTime && len(alive) == 0 {
