--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Paths, topics, headers and fields of the users' platform, which only the
 # adapter may name.
-PLATFORM_NAMES = "/heatherslip/|keyed\.|HEATHERSLIP_BOOT|Deadline-Ms|Expect-Instance|AckCursor|UntilMs|EstimateMs|ListenAddrs
+PLATFORM_NAMES = "/heatherslip/|keyed\.|HEATHERSLIP_BOOT|Deadline-Ms|Expect-Instance|AckCursor|UntilMs|EstimateMs|ListenAddrs|BestEffort
 
 .PHONY: test format lint race model build faults fuzz bench soak promises
 
@@ -18,7 +18,7 @@
 	go vet ./...
 	go tool staticcheck ./...
 	go tool revive -config revive.toml -set_exit_status ./...
-	@out=$$(grep -rnE --include='*.go' '$(PLATFORM_NAMES)' cmd internal | grep -v '_test\.go:'); \
+	@out=$$(grep -rnE --include='*.go' '$(PLATFORM_NAMES)' cmd internal); \
 	if [ -n "$$out" ]; then echo "names of the users' platform outside platform/:"; echo "$$out"; exit 1; fi
 
 race:
--- a/internal/core/dispatcher/sim_test.go
+++ b/internal/core/dispatcher/sim_test.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"container/heap"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -10,6 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/heatherslip/heatherslip/internal/bench/sequencer"
 	"github.com/heatherslip/heatherslip/internal/config/generator"
 	"github.com/heatherslip/heatherslip/internal/config/policer"
 	"github.com/heatherslip/heatherslip/internal/core/placer"
@@ -43,8 +43,7 @@
 	t     *testing.T
 	rng   *rand.Rand
 	now   time.Time
-	seq   int
-	queue timeline
+	queue sequencer.Sequencer
 
 	log     *emulator.Log
 	nodes   []*simNode
@@ -101,30 +100,6 @@
 	gone       bool
 }
 
-type moment struct {
-	at  time.Time
-	seq int
-	run func()
-}
-
-type timeline []moment
-
-func (q timeline) Len() int { return len(q) }
-func (q timeline) Less(i, j int) bool {
-	if q[i].at.Equal(q[j].at) {
-		return q[i].seq < q[j].seq
-	}
-	return q[i].at.Before(q[j].at)
-}
-func (q timeline) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *timeline) Push(x any)   { *q = append(*q, x.(moment)) }
-func (q *timeline) Pop() any {
-	old := *q
-	last := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return last
-}
-
 func newSim(t *testing.T, nodes int, seed uint64, mode Mode) *sim {
 	t.Helper()
 	s := &sim{
@@ -218,16 +193,14 @@
 }
 
 func (s *sim) after(d time.Duration, f func()) {
-	s.seq++
-	heap.Push(&s.queue, moment{at: s.now.Add(d), seq: s.seq, run: f})
+	s.queue.Add(s.now.Add(d), f)
 }
 
 func (s *sim) run(d time.Duration) {
 	end := s.now.Add(d)
-	for len(s.queue) > 0 && !s.queue[0].at.After(end) {
-		m := heap.Pop(&s.queue).(moment)
-		s.now = m.at
-		m.run()
+	for at, do, found := s.queue.Next(end); found; at, do, found = s.queue.Next(end) {
+		s.now = at
+		do()
 	}
 	s.now = end
 }
--- a/internal/core/scheduler/home.go
+++ b/internal/core/scheduler/home.go
@@ -150,7 +150,7 @@
 }
 
 // defaultPower stands for the power of an instance that doesn't tell it.
-const defaultPower namer.MilliCores = 1000
+const defaultPower namer.MilliCores = namer.MilliPerCore
 
 // right is the right of an instance to a worker: by the hashes of their names,
 // in proportion to the instance's power (weighted rendezvous hashing).
--- a/internal/core/scheduler/home_test.go
+++ b/internal/core/scheduler/home_test.go
@@ -46,21 +46,17 @@
 					})
 				}
 			}
-			events := []Event{l}
-			for n, p := range c.peers {
-				p.Name, p.Tag = fmt.Sprintf("peer %d", n), namer.RunTag(n+2)
-				events = append(events, p)
-			}
 			if c.leave {
 				s.Leave()
 			}
+			s.Step(simStart, 1, []Event{l})
 			for passed := time.Duration(0); passed <= c.after; passed += 50 * time.Millisecond {
-				s.Step(simStart.Add(passed), 1, events)
-				events = events[min(1, len(events)):]
+				var hellos []Event
 				for n, p := range c.peers {
 					p.Name, p.Tag = fmt.Sprintf("peer %d", n), namer.RunTag(n+2)
-					events = append(events, p)
+					hellos = append(hellos, p)
 				}
+				s.Step(simStart.Add(passed), 1, hellos)
 			}
 			must.GreaterEq(t, c.least, len(s.homes))
 			must.LessEq(t, c.most, len(s.homes))
--- a/internal/core/scheduler/kind.go
+++ b/internal/core/scheduler/kind.go
@@ -63,5 +63,3 @@
 	s.virtual = k.start
 	k.start += w.cost
 }
-
-const milliPerCore = 1000.0
--- a/internal/core/scheduler/place.go
+++ b/internal/core/scheduler/place.go
@@ -142,7 +142,7 @@
 }
 
 func cost(size Size, took time.Duration) float64 {
-	return float64(size.Cores) / milliPerCore * took.Seconds()
+	return float64(size.Cores) / namer.MilliPerCore * took.Seconds()
 }
 
 // nextWant takes the first want of the kind that has had least.
--- a/internal/core/scheduler/world_test.go
+++ b/internal/core/scheduler/world_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/heatherslip/heatherslip/internal/bench/sequencer"
 	"github.com/heatherslip/heatherslip/internal/wire/namer"
 )
 
@@ -16,8 +16,7 @@
 // job again when they hear nothing. It checks what must hold at all times.
 type world struct {
 	now  time.Duration
-	seq  int
-	todo agenda
+	todo sequencer.Sequencer
 	// rng draws what happens to messages, load what clients send, so that two
 	// ways of serving get the same jobs.
 	rng, load *rand.Rand
@@ -40,29 +39,6 @@
 	tap      func(Tell)
 }
 
-type deed struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type agenda []deed
-
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
-	if a[i].at != a[j].at {
-		return a[i].at < a[j].at
-	}
-	return a[i].seq < a[j].seq
-}
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)   { *a = append(*a, x.(deed)) }
-func (a *agenda) Pop() any {
-	last := (*a)[len(*a)-1]
-	*a = (*a)[:len(*a)-1]
-	return last
-}
-
 // Times of the simulated platform.
 const (
 	simMaxLease = time.Second
@@ -109,18 +85,17 @@
 }
 
 func (w *world) after(d time.Duration, do func()) {
-	w.seq++
-	heap.Push(&w.todo, deed{w.now + d, w.seq, do})
+	w.todo.Add(simStart.Add(w.now+d), do)
 }
 
 // at does something at a point in time of the day.
 func (w *world) at(t time.Duration, do func()) { w.after(t-w.now, do) }
 
 func (w *world) run(until time.Duration) {
-	for len(w.todo) > 0 && w.todo[0].at <= until {
-		d := heap.Pop(&w.todo).(deed)
-		w.now = d.at
-		d.do()
+	end := simStart.Add(until)
+	for at, do, found := w.todo.Next(end); found; at, do, found = w.todo.Next(end) {
+		w.now = at.Sub(simStart)
+		do()
 	}
 	w.now = until
 }
--- a/internal/edge/gateway/gateway_test.go
+++ b/internal/edge/gateway/gateway_test.go
@@ -14,6 +14,7 @@
 	"github.com/heatherslip/heatherslip/internal/core/matcher"
 	"github.com/heatherslip/heatherslip/internal/core/scheduler"
 	"github.com/heatherslip/heatherslip/internal/wire/namer"
+	"github.com/heatherslip/heatherslip/platform/emulator"
 )
 
 // fakeCore answers each job alike and keeps the last.
@@ -37,10 +38,9 @@
 	return matcher.Config{Version: v, Routes: append(routes, extra...), Limits: matcher.Limits{BodyBytes: 200}}
 }
 
-const (
-	jobID   = "5c0e7a21d94b36f8"
-	jobBody = `{"Spec":"x","Steps":[{"Count":2,"Cpu":500}],"BestEffort":true}`
-)
+const jobID = "5c0e7a21d94b36f8"
+
+var jobBody = emulator.JobBody(2, time.Second)
 
 func call(g *Gateway, method, host, path, body string) *httptest.ResponseRecorder {
 	w := httptest.NewRecorder()
@@ -67,11 +67,11 @@
 		"id too short":  {"POST", "/p/5c0e", jobBody, scheduler.Answer{}, 400, "", false},
 		"not JSON":      {"POST", "/p/" + jobID, "{", scheduler.Answer{}, 400, "", false},
 		"body too large": {
-			"POST", "/p/" + jobID, `{"Spec":"` + strings.Repeat("x", 300) + `"}`, scheduler.Answer{}, 413, "", false,
+			"POST", "/p/" + jobID, jobBody + strings.Repeat(" ", 300), scheduler.Answer{}, 413, "", false,
 		},
-		"job to be kept": {"POST", "/p/" + jobID, `{"Steps":[{"Count":1}]}`, scheduler.Answer{}, 503, "1", false},
+		"job to be kept": {"POST", "/p/" + jobID, emulator.KeptJob, scheduler.Answer{}, 503, "1", false},
 		"gang": {
-			"POST", "/p/" + jobID, `{"BestEffort":true,"Steps":[{"Count":1,"Gang":true}]}`, scheduler.Answer{}, 503, "1", false,
+			"POST", "/p/" + jobID, emulator.GangJob, scheduler.Answer{}, 503, "1", false,
 		},
 		"queue with advice": {"POST", "/adv/" + jobID, jobBody, scheduler.Answer{}, 503, "1", false},
 		"state of a job":    {"GET", "/p/" + jobID, "", scheduler.Answer{}, 410, "", false},
--- a/internal/edge/starter/starter.go
+++ b/internal/edge/starter/starter.go
@@ -70,7 +70,8 @@
 
 	mu    sync.Mutex
 	peers map[string]time.Time
-	bad   map[string]uint64
+	// bad are the keys of entries that can't be read and have been told.
+	bad map[string]bool
 }
 
 // Options are what an instance is told beside the platform's settings.
@@ -86,7 +87,7 @@
 	n := &Instance{
 		settings: s, opts: o, log: log, lines: lines, done: make(chan struct{}),
 		name:  fmt.Sprintf("%s/%08x", s.Name, rand.Uint32()),
-		peers: make(map[string]time.Time), bad: make(map[string]uint64),
+		peers: make(map[string]time.Time), bad: make(map[string]bool),
 	}
 	n.tag.Store(newTag())
 	n.driver = driver.New(scheduler.Settings{
@@ -214,8 +215,8 @@
 // rejectEntry logs an entry that can't be read, once for each key.
 func (n *Instance) rejectEntry(r platform.Record, err error) {
 	n.mu.Lock()
-	_, told := n.bad[r.Key]
-	n.bad[r.Key] = r.Offset
+	told := n.bad[r.Key]
+	n.bad[r.Key] = true
 	n.mu.Unlock()
 	if !told {
 		n.log.Warn().Int("event", int(eventer.ListBad)).Err(err).Msg(eventer.ListBad.Name())
--- a/internal/wire/namer/ids.go
+++ b/internal/wire/namer/ids.go
@@ -48,6 +48,9 @@
 // MilliCores counts thousandths of a processor core.
 type MilliCores int
 
+// MilliPerCore is the number of milli-cores in a core.
+const MilliPerCore = 1000
+
 // Megabytes counts memory in units of 2^20 bytes.
 type Megabytes int
 
