scheduler: runs that start during a poll keep their capacity

A trace of an owner shows polls that were answered before a reserved start reached the worker, and handled after the instance had reported the start: the list lacked the run, so the owner forgot it and granted its capacity again. The owner was not told why a start had failed either, and granted the same worker to the same task up to eight times within 20 ms.

Ruled out: sizes larger than declared (the rejections do not depend on what was left), two owners of one worker, lost results.

Change: a run that was reported after the poll was sent is kept until a later list. The result of a start says whether the worker lacked capacity; the owner then pauses and polls the worker as it does for starts of its own. Owners log each reservation (event 516), accepted jobs their tasks and cores.

TestCapacityOfStartedRuns fails in two cases without the change.

--- a/internal/core/scheduler/action.go
+++ b/internal/core/scheduler/action.go
@@ -90,8 +90,13 @@
 	// duration of an ended run, the latency of a failed start, or how long a
 	// breaker stays open, depending on Event.
 	Age time.Duration
-	// FreeCores is the worker's estimated free capacity after placing the task.
+	// FreeCores is the worker's estimated free capacity after placing the task or
+	// reserving capacity for it.
 	FreeCores namer.MilliCores
+	// Cores is the size of the task.
+	Cores namer.MilliCores
+	// Tasks is the number of tasks of an accepted job.
+	Tasks int
 	// ForeignRuns is the number of runs of other instances on the worker.
 	ForeignRuns int
 	// PredictedRunTime is the expected run time.
--- a/internal/core/scheduler/admission.go
+++ b/internal/core/scheduler/admission.go
@@ -53,7 +53,7 @@
 	s.jobsByName[j.Name] = j
 	s.openJobs = append(s.openJobs, j)
 	s.placementDue = true
-	s.emitJobDecision(eventer.JobAccepted, j, Decision{PredictedRunTime: j.criticalPath(kind.runTimeRatio), WaitingTasks: s.WaitingTasks()})
+	s.emitJobDecision(eventer.JobAccepted, j, Decision{PredictedRunTime: j.criticalPath(kind.runTimeRatio), WaitingTasks: s.WaitingTasks(), Tasks: len(j.tasks), Cores: j.Steps[0].Size.Cores})
 	if reason := s.infeasibleReason(j); reason != "" {
 		s.refuseJob(j, Refused, reason)
 		return
--- a/internal/core/scheduler/load_test.go
+++ b/internal/core/scheduler/load_test.go
@@ -34,15 +34,15 @@
 	t := clientStats{inTimeByKind: make(map[namer.Kind]float64)}
 	for _, j := range w.jobs {
 		t.jobs++
-		t.maxValue += kindValue[j.spec.Kind]
+		t.maxValue += j.value
 		objective := time.Duration(j.spec.ObjectiveFactor*float64(j.runTime)) + j.spec.ObjectiveBase
 		switch {
 		case j.metObjective():
 			t.inTime++
-			t.earnedValue += kindValue[j.spec.Kind]
+			t.earnedValue += j.value
 		case j.outcome == Completed && j.answeredAt > 0 && j.answeredAt-j.submittedAt <= 3*objective:
 			t.late++
-			t.earnedValue += kindValue[j.spec.Kind] / 5
+			t.earnedValue += j.value / 5
 		case j.outcome == Refused || j.outcome == Unavailable:
 			t.refused++
 			if j.answeredAt-j.submittedAt > objective/4+2*w.crossDomainDelay {
--- a/internal/core/scheduler/message.go
+++ b/internal/core/scheduler/message.go
@@ -56,6 +56,8 @@
 type ReservationResult struct {
 	RunRef
 	Started bool `cbor:"4,keyasint"`
+	// NoCapacity is set if the worker rejected the start for lack of capacity.
+	NoCapacity bool `cbor:"5,keyasint,omitempty"`
 }
 
 // RunEnd notifies an instance that one of its runs has ended.
--- a/internal/core/scheduler/placement.go
+++ b/internal/core/scheduler/placement.go
@@ -259,7 +259,7 @@
 	})
 	s.emitJobDecision(eventer.TaskPlaced, t.job, Decision{
 		Task: taskLabel(t.id), Run: r.number, Worker: w.id, Age: s.now.Sub(w.lastSeen), PredictedRunTime: r.predictedRunTime,
-		FreeCores: w.freeCapacity().Cores, ForeignRuns: len(w.foreignRuns),
+		Cores: r.size.Cores, FreeCores: w.freeCapacity().Cores, ForeignRuns: len(w.foreignRuns),
 	})
 }
 
--- a/internal/core/scheduler/poll.go
+++ b/internal/core/scheduler/poll.go
@@ -306,6 +306,7 @@
 			s.recordTagSeen(a.Run.Tag())
 		}
 	}
+	foreign = append(foreign, w.unlistedRuns(foreign, e.SentAt)...)
 	if len(foreign) < len(w.foreignRuns) {
 		w.fullUntil = time.Time{}
 		s.placementDue = true
@@ -327,6 +328,20 @@
 	}
 }
 
+// unlistedRuns returns the runs of other instances that are missing from a list but
+// were reported as started after the poll was sent. The worker may have written the
+// list before it started them.
+func (w *worker) unlistedRuns(listed []foreignRun, pollSentAt time.Time) []foreignRun {
+	var out []foreignRun
+	for _, f := range w.foreignRuns {
+		isListed := slices.ContainsFunc(listed, func(l foreignRun) bool { return l.Run == f.Run && l.Task == f.Task })
+		if !isListed && !f.reportedAt.Before(pollSentAt) {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
 // foreignRunFrom returns the table entry of another instance's run. It replaces
 // the run's reservation, if there is one.
 func (s *Scheduler) foreignRunFrom(w *worker, a ActiveRun) foreignRun {
@@ -334,10 +349,10 @@
 	if i := w.reservationIndex(key); i >= 0 {
 		size := w.reservations[i].size
 		w.reservations = slices.Delete(w.reservations, i, i+1)
-		return foreignRun{a, size}
+		return foreignRun{ActiveRun: a, size: size}
 	}
 	if i := w.foreignIndex(key); i >= 0 {
-		return foreignRun{a, w.foreignRuns[i].size}
+		return foreignRun{ActiveRun: a, size: w.foreignRuns[i].size}
 	}
 	return foreignRun{ActiveRun: a}
 }
--- a/internal/core/scheduler/reservation.go
+++ b/internal/core/scheduler/reservation.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/heatherslip/heatherslip/internal/wire/eventer"
 	"github.com/heatherslip/heatherslip/internal/wire/namer"
 )
 
@@ -182,6 +183,11 @@
 func (s *Scheduler) reserve(request *pendingRequest, w *worker) {
 	w.reservations = append(w.reservations, reservation{runKey{request.Task, request.Run}, request.Size, s.now.Add(reservationTime)})
 	request.reserved = true
+	s.emit(Decision{
+		Event: eventer.CapacityReserved, Job: request.Task.Job, Task: taskLabel(request.Task), Run: request.Run, Worker: w.id,
+		Age: s.sinceLastSeen(w), Cores: request.Size.Cores, FreeCores: w.freeCapacity().Cores, ForeignRuns: len(w.foreignRuns),
+		PredictedRunTime: request.PredictedRunTime,
+	})
 	request.peer.outbox.ReserveResponses = append(request.peer.outbox.ReserveResponses, ReserveResponse{Task: request.Task, Run: request.Run, Worker: w.id, Clock: w.estimatedClock(s.now)})
 }
 
@@ -227,11 +233,17 @@
 	s.placementDue = true
 }
 
-// sendReservationResult reports the result of a start to the worker's owner.
-func (s *Scheduler) sendReservationResult(r *run, started bool) {
-	if owner := r.worker.owner; owner != nil {
-		owner.outbox.ReservationResults = append(owner.outbox.ReservationResults, ReservationResult{RunRef: RunRef{r.worker.id, r.taskID, r.number}, Started: started})
+// sendReservationResult reports the result of a start to the worker's owner. A start
+// without a response may have taken effect.
+func (s *Scheduler) sendReservationResult(r *run, status StartStatus) {
+	owner := r.worker.owner
+	if owner == nil {
+		return
 	}
+	owner.outbox.ReservationResults = append(owner.outbox.ReservationResults, ReservationResult{
+		RunRef: RunRef{r.worker.id, r.taskID, r.number}, Started: status == StartAccepted || status == StartNoResponse,
+		NoCapacity: status == StartNoCapacity,
+	})
 }
 
 // handleReservationResult releases a reservation or, if the run was started,
@@ -250,9 +262,21 @@
 		w.reservations = slices.Delete(w.reservations, i, i+1)
 	}
 	if result.Started && i >= 0 && w.foreignIndex(key) < 0 {
-		s.setForeignRuns(w, append(slices.Clone(w.foreignRuns), foreignRun{ActiveRun{Task: result.Task, Run: result.Run}, size}))
+		s.setForeignRuns(w, append(slices.Clone(w.foreignRuns), foreignRun{
+			ActiveRun: ActiveRun{Task: result.Task, Run: result.Run}, size: size, reportedAt: s.now,
+		}))
+	}
+	if result.NoCapacity {
+		s.recordNoCapacity(w)
 	}
 	if !result.Started {
 		s.placementDue = true
 	}
 }
+
+// recordNoCapacity stops placing tasks on a worker that has less free capacity than
+// it seemed to have, and asks it for its runs.
+func (s *Scheduler) recordNoCapacity(w *worker) {
+	w.fullUntil = s.now.Add(fullPause)
+	s.sendImmediatePoll(w)
+}
--- a/internal/core/scheduler/reservation_test.go
+++ b/internal/core/scheduler/reservation_test.go
@@ -97,3 +97,87 @@
 		}
 	}
 }
+
+// newOwner returns an instance that owns a worker of 16 cores and has one live peer,
+// and the time at which it has listed the worker's runs.
+func newOwner() (*Scheduler, time.Time) {
+	s := New(Settings{Name: "this", Domain: "d0", RunTag: 1, MaxLease: time.Second}, simEpoch, 1)
+	heartbeat := PeerHeartbeat{Name: "peer", Domain: "d0", RunTag: 2, Draining: true}
+	list := WorkerListUpdated{Workers: []WorkerInfo{{
+		ID: "w", Service: "s", Domain: "d0", Capacity: Resources{Cores: 16000, Memory: 1 << 20}, BootTime: 1,
+	}}}
+	s.Step(simEpoch, 1, []Event{heartbeat, list})
+	now := simEpoch.Add(startupDelay + ownerCheckInterval)
+	s.Step(now, 1, []Event{heartbeat})
+	s.Step(now, 1, []Event{PollResult{Worker: "w", SentAt: now, BootTime: 1, Clock: 1}})
+	return s, now
+}
+
+// reservedWorkers returns the workers that were reserved by the actions.
+func reservedWorkers(actions []Action) []namer.Worker {
+	var out []namer.Worker
+	for _, a := range actions {
+		m, isMessage := a.(SendMessage)
+		if !isMessage {
+			continue
+		}
+		for _, r := range m.Message.ReserveResponses {
+			if r.Worker != "" {
+				out = append(out, r.Worker)
+			}
+		}
+	}
+	return out
+}
+
+func reserveRequest(task int, run namer.RunID, cores namer.MilliCores) MessageReceived {
+	return MessageReceived{From: "peer", Message: PeerMessage{ReserveRequests: []ReserveRequest{{
+		Task: namer.TaskName{Job: "a", Index: task}, Run: run, Service: "s", Size: Resources{Cores: cores}, Kind: "short",
+		PredictedRunTime: 50 * time.Millisecond, Timeout: time.Second,
+	}}}}
+}
+
+func reservationResult(task int, run namer.RunID, status StartStatus) MessageReceived {
+	return MessageReceived{From: "peer", Message: PeerMessage{ReservationResults: []ReservationResult{{
+		RunRef: RunRef{"w", namer.TaskName{Job: "a", Index: task}, run}, Started: status == StartAccepted, NoCapacity: status == StartNoCapacity,
+	}}}}
+}
+
+// TestCapacityOfStartedRuns checks what an owner grants after the instance that it
+// reserved capacity for has reported the result of its start.
+func TestCapacityOfStartedRuns(t *testing.T) {
+	const run, nextRun = namer.RunID(1<<20 | 2), namer.RunID(2<<20 | 2)
+	listed := ActiveRun{Task: namer.TaskName{Job: "a"}, Run: run, Cores: 9000}
+	cases := map[string]struct {
+		status StartStatus
+		// poll is the poll result that arrives 2 ms after the result of the start.
+		poll    *PollResult
+		granted bool
+	}{
+		"run was reported, no poll since":                 {StartAccepted, nil, false},
+		"poll was sent before the report, run not listed": {StartAccepted, &PollResult{}, false},
+		"poll was sent before the report, run listed":     {StartAccepted, &PollResult{Active: []ActiveRun{listed}}, false},
+		"poll was sent before the report, run has ended":  {StartAccepted, &PollResult{Ended: []EndedRun{{Sequence: 1, Task: listed.Task, Run: run}}}, true},
+		"poll was sent after the report, run not listed":  {StartAccepted, &PollResult{SentAt: simEpoch.Add(time.Hour)}, true},
+		"worker had no capacity":                          {StartNoCapacity, nil, false},
+		"worker refused the run":                          {StartRefused, nil, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s, now := newOwner()
+			must.Eq(t, []namer.Worker{"w"}, reservedWorkers(s.Step(now, 1, []Event{reserveRequest(0, run, 9000)})))
+			pollSentAt := now.Add(time.Millisecond)
+			now = now.Add(2 * time.Millisecond)
+			s.Step(now, 1, []Event{reservationResult(0, run, c.status)})
+			now = now.Add(2 * time.Millisecond)
+			if c.poll != nil {
+				c.poll.Worker, c.poll.BootTime, c.poll.Clock = "w", 1, 1
+				if c.poll.SentAt.IsZero() {
+					c.poll.SentAt = pollSentAt
+				}
+				s.Step(now, 1, []Event{*c.poll})
+			}
+			must.Eq(t, c.granted, len(reservedWorkers(s.Step(now, 1, []Event{reserveRequest(1, nextRun, 9000)}))) == 1)
+		})
+	}
+}
--- a/internal/core/scheduler/run.go
+++ b/internal/core/scheduler/run.go
@@ -66,7 +66,7 @@
 	if e.Status != StartNoResponse {
 		w.setClock(s.now, e.Clock)
 	}
-	s.sendReservationResult(r, e.Status == StartAccepted || e.Status == StartNoResponse)
+	s.sendReservationResult(r, e.Status)
 	if e.Status == StartAccepted {
 		s.confirmRun(r)
 		return
@@ -79,8 +79,7 @@
 	}
 	switch e.Status {
 	case StartNoCapacity:
-		w.fullUntil = s.now.Add(fullPause)
-		s.sendImmediatePoll(w)
+		s.recordNoCapacity(w)
 	case StartSuperseded:
 		s.lastRunCount += supersededSkip
 	case StartUnhealthy:
--- a/internal/core/scheduler/simulation_test.go
+++ b/internal/core/scheduler/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -530,7 +531,7 @@
 	sentAt := i.w.now
 	i.callWorker(a.Worker, a.Timeout, e, func(s *simWorker, respond func(Event)) {
 		j := i.w.jobsByName[a.Task.Job]
-		e.Status = s.start(runKey{a.Task, a.Run}, a.LeaseUntil, j.taskCores[a.Task.Index], j.runTime)
+		e.Status = s.start(runKey{a.Task, a.Run}, a.LeaseUntil, j.taskCores[a.Task.Index], j.taskRunTimes[a.Task.Index])
 		e.Clock = s.clock()
 		e.Latency = i.w.now - sentAt
 		respond(e)
@@ -575,10 +576,14 @@
 
 // simJob is a submitted job and its state.
 type simJob struct {
-	spec        JobSpec
-	taskCores   []namer.MilliCores
-	runTime     time.Duration
-	submittedAt time.Duration
+	spec      JobSpec
+	taskCores []namer.MilliCores
+	// taskRunTimes has the run time of each task; runTime is the longest.
+	taskRunTimes []time.Duration
+	runTime      time.Duration
+	submittedAt  time.Duration
+	// value is what a result within the objective is worth.
+	value float64
 	// running counts the active runs by task.
 	running   map[int]int
 	doneTasks map[int]bool
@@ -603,6 +608,70 @@
 	maxAttempts int
 	// callerTimeout is how long clients wait; zero means the default.
 	callerTimeout time.Duration
+	// variation spreads the sizes of the jobs; nil means nearly equal sizes.
+	variation *jobVariation
+}
+
+// jobVariation describes how jobs of a kind differ, as on the users' sites. The
+// spreads are the standard deviations of logarithms.
+type jobVariation struct {
+	widthSpread, runTimeSpread, coresSpread, estimateSpread float64
+	meanCores, maxCores                                     float64
+	// unevenness is the largest relative deviation of a task's run time from that
+	// of its job.
+	unevenness float64
+}
+
+// siteVariation is that of the users' sites.
+var siteVariation = &jobVariation{
+	widthSpread: 0.4, runTimeSpread: 0.4, coresSpread: 0.2, estimateSpread: 0.4, meanCores: 6800, maxCores: 10000, unevenness: 0.15,
+}
+
+// largeSiteVariation is that of the users' larger sites, whose tasks are wider.
+var largeSiteVariation = &jobVariation{
+	widthSpread: 0.4, runTimeSpread: 0.4, coresSpread: 0.2, estimateSpread: 0.4, meanCores: 8000, maxCores: 12000, unevenness: 0.15,
+}
+
+// logNormal draws a value with the given mean and spread, at most four times the
+// mean.
+func (w *simWorld) logNormal(mean, spread float64) float64 {
+	return min(mean*math.Exp(spread*w.loadRand.NormFloat64()-spread*spread/2), 4*mean)
+}
+
+// varied returns a job of the kind with drawn sizes.
+func (w *simWorld) varied(k jobKind) *simJob {
+	v := k.variation
+	width := max(1, int(math.Round(w.logNormal(float64(k.tasks), v.widthSpread))))
+	runTime := w.logNormal(float64(k.runTime), v.runTimeSpread)
+	cores := min(w.logNormal(v.meanCores, v.coresSpread), v.maxCores)
+	j := &simJob{}
+	for range width {
+		taskRunTime := time.Duration(runTime * (1 + v.unevenness*(2*w.loadRand.Float64()-1)))
+		j.taskRunTimes = append(j.taskRunTimes, taskRunTime)
+		j.taskCores = append(j.taskCores, namer.MilliCores(cores))
+		j.runTime = max(j.runTime, taskRunTime)
+	}
+	estimate := time.Duration(runTime * math.Exp(v.estimateSpread*w.loadRand.NormFloat64()))
+	j.spec.Steps = []StepSpec{{Count: width, Size: Resources{Cores: namer.MilliCores(cores), Memory: 64}, EstimatedRunTime: estimate}}
+	work := float64(width) * runTime * cores / (float64(k.tasks) * float64(k.runTime) * v.meanCores)
+	j.value = kindValue[k.kind] * min(4, 0.3+0.7*work)
+	return j
+}
+
+// uniform returns a job of the kind whose sizes differ little.
+func (w *simWorld) uniform(k jobKind) *simJob {
+	cores := namer.MilliCores(5500 + w.loadRand.IntN(2600))
+	runTime := time.Duration(float64(k.runTime) * (0.7 + 0.6*w.loadRand.Float64()))
+	j := &simJob{runTime: runTime, value: kindValue[k.kind]}
+	j.spec.Steps = []StepSpec{{
+		Count: k.tasks, Size: Resources{Cores: cores, Memory: 64},
+		EstimatedRunTime: time.Duration(float64(runTime) * (0.8 + 0.4*w.loadRand.Float64())),
+	}}
+	for range k.tasks {
+		j.taskCores = append(j.taskCores, namer.MilliCores(float64(cores)*(0.98+0.04*w.loadRand.Float64())))
+		j.taskRunTimes = append(j.taskRunTimes, runTime)
+	}
+	return j
 }
 
 // defaultCallerTimeout is how long clients of the standard sites wait.
@@ -611,27 +680,19 @@
 // submit submits a job to an instance. The client resubmits it, possibly to
 // another instance, if it gets no result.
 func (w *simWorld) submit(k jobKind, instance *simInstance) *simJob {
-	name := namer.JobName(fmt.Sprintf("%016x", len(w.jobs)+1))
-	cores := namer.MilliCores(5500 + w.loadRand.IntN(2600))
-	runTime := time.Duration(float64(k.runTime) * (0.7 + 0.6*w.loadRand.Float64()))
+	j := w.uniform(k)
+	if k.variation != nil {
+		j = w.varied(k)
+	}
 	callerTimeout := k.callerTimeout
 	if callerTimeout == 0 {
 		callerTimeout = defaultCallerTimeout
 	}
-	j := &simJob{
-		spec: JobSpec{
-			Name: name, Kind: k.kind, Service: "s", MaxAttempts: k.maxAttempts, ObjectiveFactor: 1.6, ObjectiveBase: 60 * time.Millisecond,
-			CallerTimeout: callerTimeout,
-			Steps: []StepSpec{{
-				Count: k.tasks, Size: Resources{Cores: cores, Memory: 64},
-				EstimatedRunTime: time.Duration(float64(runTime) * (0.8 + 0.4*w.loadRand.Float64())),
-			}},
-		},
-		runTime: runTime, submittedAt: w.now, running: make(map[int]int), doneTasks: make(map[int]bool), outcome: connectionLost,
-	}
-	for range k.tasks {
-		j.taskCores = append(j.taskCores, namer.MilliCores(float64(cores)*(0.98+0.04*w.loadRand.Float64())))
-	}
+	name := namer.JobName(fmt.Sprintf("%016x", len(w.jobs)+1))
+	j.spec.Name, j.spec.Kind, j.spec.Service, j.spec.MaxAttempts = name, k.kind, "s", k.maxAttempts
+	j.spec.ObjectiveFactor, j.spec.ObjectiveBase, j.spec.CallerTimeout = 1.6, 60*time.Millisecond, callerTimeout
+	j.submittedAt, j.outcome = w.now, connectionLost
+	j.running, j.doneTasks = make(map[int]int), make(map[int]bool)
 	w.jobsByName[name] = j
 	w.jobs = append(w.jobs, j)
 	w.sendJob(j, instance)
--- a/internal/core/scheduler/worker.go
+++ b/internal/core/scheduler/worker.go
@@ -73,11 +73,14 @@
 	idHash uint64
 }
 
-// foreignRun is a run of another instance and the size that was reserved for it;
-// the size is zero if unknown.
+// foreignRun is a run of another instance.
 type foreignRun struct {
 	ActiveRun
+	// size is what was reserved for the run; zero if unknown.
 	size Resources
+	// reportedAt is when its instance reported the start; zero if the run is only
+	// known from the worker's list.
+	reportedAt time.Time
 }
 
 const (
--- a/internal/edge/driver/decision_log.go
+++ b/internal/edge/driver/decision_log.go
@@ -11,19 +11,20 @@
 // results reported to callers. Events that are not listed are changes of the
 // instance's view of workers and peers and are logged as warnings.
 var decisionLevels = map[eventer.Event]zerolog.Level{
-	eventer.JobAccepted:    zerolog.DebugLevel,
-	eventer.JobCompleted:   zerolog.DebugLevel,
-	eventer.TaskPlaced:     zerolog.DebugLevel,
-	eventer.TaskEnded:      zerolog.DebugLevel,
-	eventer.JobAttached:    zerolog.InfoLevel,
-	eventer.JobRefused:     zerolog.InfoLevel,
-	eventer.JobFailed:      zerolog.InfoLevel,
-	eventer.JobCanceled:    zerolog.InfoLevel,
-	eventer.JobAborted:     zerolog.InfoLevel,
-	eventer.TaskNotStarted: zerolog.InfoLevel,
-	eventer.RunMoved:       zerolog.InfoLevel,
-	eventer.RunMissing:     zerolog.InfoLevel,
-	eventer.RunOrphaned:    zerolog.InfoLevel,
+	eventer.JobAccepted:      zerolog.DebugLevel,
+	eventer.JobCompleted:     zerolog.DebugLevel,
+	eventer.TaskPlaced:       zerolog.DebugLevel,
+	eventer.TaskEnded:        zerolog.DebugLevel,
+	eventer.CapacityReserved: zerolog.DebugLevel,
+	eventer.JobAttached:      zerolog.InfoLevel,
+	eventer.JobRefused:       zerolog.InfoLevel,
+	eventer.JobFailed:        zerolog.InfoLevel,
+	eventer.JobCanceled:      zerolog.InfoLevel,
+	eventer.JobAborted:       zerolog.InfoLevel,
+	eventer.TaskNotStarted:   zerolog.InfoLevel,
+	eventer.RunMoved:         zerolog.InfoLevel,
+	eventer.RunMissing:       zerolog.InfoLevel,
+	eventer.RunOrphaned:      zerolog.InfoLevel,
 }
 
 // logDecision logs a decision. Keys without a value are left out.
@@ -34,7 +35,10 @@
 	}
 	line := d.log.WithLevel(level).Int("event", int(decision.Event))
 	if decision.Job != "" {
-		line = line.Str("job", string(decision.Job)).Float64("response_ms", toMillis(decision.ResponseTime)).Float64("objective_ms", toMillis(decision.Objective))
+		line = line.Str("job", string(decision.Job))
+	}
+	if decision.Objective != 0 {
+		line = line.Float64("response_ms", toMillis(decision.ResponseTime)).Float64("objective_ms", toMillis(decision.Objective))
 	}
 	if decision.Task != "" {
 		line = line.Str("task", decision.Task).Int64("run", int64(decision.Run))
@@ -48,6 +52,12 @@
 	if decision.Age != 0 {
 		line = line.Float64("age_ms", toMillis(decision.Age))
 	}
+	if decision.Tasks != 0 {
+		line = line.Int("tasks", decision.Tasks)
+	}
+	if decision.Cores != 0 {
+		line = line.Int("cores", int(decision.Cores))
+	}
 	if decision.Task != "" && decision.Worker != "" {
 		line = line.Int("free", int(decision.FreeCores)).Int("foreign", decision.ForeignRuns)
 	}
--- a/internal/wire/eventer/events.go
+++ b/internal/wire/eventer/events.go
@@ -68,6 +68,7 @@
 	RunMoved            Event = 513
 	RunMissing          Event = 514
 	RunOrphaned         Event = 515
+	CapacityReserved    Event = 516
 	WorkerListed        Event = 520
 	WorkerDraining      Event = 521
 	WorkerRemoved       Event = 522
@@ -162,6 +163,7 @@
 		{RunMoved, "task moved", "A run is too slow for its job; it is stopped, and the task is started on another worker once the stop is acknowledged."},
 		{RunMissing, "task vanished", "A worker reports neither a run nor its end; the task is started again."},
 		{RunOrphaned, "run abandoned", "A run was stopped because its instance is silent, or because its job was sent again to this instance."},
+		{CapacityReserved, "capacity reserved", "The owner of a worker has reserved capacity for a task of another instance; the line has what is left after it."},
 		{WorkerListed, "worker listed", "The platform lists a new worker."},
 		{WorkerDraining, "worker draining", "A worker is draining; it gets no new starts."},
 		{WorkerRemoved, "worker gone", "The platform no longer lists a worker."},
