registrar: no scan of the roster in each step

The registrar also spent 5 ms of processor time an instance and second at 290 instances: partners to be greeted were sought among all members in each step, the owners sorted by name every 50 ms.

--- a/internal/core/registrar/registrar.go
+++ b/internal/core/registrar/registrar.go
@@ -12,7 +12,6 @@
 package registrar
 
 import (
-	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -78,8 +77,10 @@
 	// starts, the seeds may come up last, after up to 0.3 s.
 	startupDelay         = 100 * time.Millisecond
 	isolatedStartupDelay = 400 * time.Millisecond
-	// checkInterval is how often the roster is checked for silent members.
-	checkInterval = 50 * time.Millisecond
+	// checkInterval is how often the roster is checked for silent owners, and
+	// expiryInterval how often for members to be logged or removed.
+	checkInterval  = 50 * time.Millisecond
+	expiryInterval = 250 * time.Millisecond
 	// memberExpiry is how long an instance without a sign of life stays in the roster.
 	memberExpiry = time.Minute
 	// maxListedMembers and maxRelayedOwners bound what one heartbeat lists, so that it
@@ -147,7 +148,7 @@
 	// superfluousSince is when enough instances that rank above this owner were
 	// first found; zero if there are too few.
 	superfluousSince time.Time
-	// owners are the live owners but this one, in the order of their names.
+	// owners are the live owners but this one, in the order of their addresses.
 	owners        []Owner
 	ownersChanged bool
 	notices       []Notice
@@ -159,10 +160,13 @@
 	// farewells are members that are to be told at once that this instance owns no
 	// workers any more.
 	farewells []*member
+	// newPartners are members with which this instance has begun to work.
+	newPartners []*member
 	// replies are members that are to receive a list at once.
 	replies   []*member
 	nextRound time.Time
 	lastCheck time.Time
+	expiredAt time.Time
 	// announcing is set when the next round has to spread a change of owners to all
 	// instances of the domain.
 	announcing bool
@@ -208,9 +212,14 @@
 
 // AddPartner records that this instance works with another one.
 func (r *Registrar) AddPartner(name string) {
-	if m := r.byName[name]; m != nil {
-		m.partneredAt = r.now
+	m := r.byName[name]
+	if m == nil {
+		return
 	}
+	if !r.isPartner(m) {
+		r.newPartners = append(r.newPartners, m)
+	}
+	m.partneredAt = r.now
 }
 
 // Step updates the roles and returns the heartbeats to send. now must not go
@@ -222,7 +231,10 @@
 	r.now, r.steppedAt = now, now
 	if now.Sub(r.lastCheck) >= checkInterval {
 		r.lastCheck = now
-		r.expireMembers()
+		if now.Sub(r.expiredAt) >= expiryInterval {
+			r.expiredAt = now
+			r.expireMembers()
+		}
 		if r.updateRole() {
 			r.nextRound = now
 		}
@@ -542,7 +554,6 @@
 	if len(owners) == 0 && (!r.isOwner || r.state.Draining) {
 		owners = draining
 	}
-	slices.SortFunc(owners, func(a, b Owner) int { return cmp.Compare(a.Name, b.Name) })
 	if !slices.Equal(owners, r.owners) {
 		r.owners, r.ownersChanged = owners, true
 	}
--- a/internal/core/registrar/round.go
+++ b/internal/core/registrar/round.go
@@ -251,15 +251,11 @@
 	return out
 }
 
-// greetPartners returns heartbeats for partners that did not receive one recently, so
-// that their first messages come from an instance that they know.
+// greetPartners returns heartbeats for new partners that did not receive one recently,
+// so that their first messages come from an instance that they know.
 func (r *Registrar) greetPartners() []Transmission {
-	var targets []*member
-	for _, m := range r.sorted {
-		if m.name != "" && m.partneredAt.Equal(r.now) && r.now.Sub(m.sentAt) >= 2*maxHeartbeatInterval {
-			targets = append(targets, m)
-		}
-	}
+	targets := slices.DeleteFunc(r.newPartners, func(m *member) bool { return r.now.Sub(m.sentAt) < maxHeartbeatInterval })
+	r.newPartners = nil
 	return r.appendTransmission(nil, targets, r.heartbeat(maxHeartbeatInterval))
 }
 
