--- a/internal/core/registrar/heartbeat.go
+++ b/internal/core/registrar/heartbeat.go
@@ -16,11 +16,11 @@
 	SourceAddr netip.Addr   `cbor:"-"`
 	Domain     namer.Domain `cbor:"1,keyasint"`
 	RunTag     namer.RunTag `cbor:"2,keyasint"`
-	// NextConfigOffset is the offset after the record of the configuration, zero if
-	// there is none. NextWorkerOffset is the offset up to which the worker list has
-	// been read. Both are set when the heartbeat is sent.
-	NextConfigOffset uint64 `cbor:"6,keyasint"`
-	NextWorkerOffset uint64 `cbor:"7,keyasint"`
+	// ConfigOffset is the offset after the record of the configuration, and
+	// WorkerListOffset that after the last change of the worker list; zero if there is
+	// none. Both are set when the heartbeat is sent.
+	ConfigOffset     uint64 `cbor:"6,keyasint"`
+	WorkerListOffset uint64 `cbor:"7,keyasint"`
 	// Draining is set if the instance shuts down once its jobs have ended.
 	Draining bool `cbor:"9,keyasint,omitempty"`
 	// CPULimit is the processor share that the instance may use.
--- a/internal/core/registrar/registrar_test.go
+++ b/internal/core/registrar/registrar_test.go
@@ -32,7 +32,7 @@
 // its domain.
 func (s *simSite) allJoined() bool {
 	for _, i := range s.instances {
-		if i.up && i.reg.isJoining() {
+		if i.up && i.reg.IsJoining() {
 			return false
 		}
 	}
--- a/internal/core/registrar/round.go
+++ b/internal/core/registrar/round.go
@@ -51,12 +51,13 @@
 func (r *Registrar) heartbeat(interval time.Duration) Heartbeat {
 	return Heartbeat{
 		Domain: r.Domain, RunTag: r.state.RunTag, FreeCores: r.state.FreeCores, Draining: r.state.Draining, CPULimit: r.CPULimit, Owner: r.isOwner,
-		Interval: interval, Joining: r.isJoining(),
+		Interval: interval, Joining: r.IsJoining(),
 	}
 }
 
-// isJoining reports whether this instance knows no owner of its domain.
-func (r *Registrar) isJoining() bool {
+// IsJoining reports whether this instance neither owns workers nor knows an owner of its
+// domain.
+func (r *Registrar) IsJoining() bool {
 	return !r.isOwner && !slices.ContainsFunc(r.owners, func(o Owner) bool { return o.Domain == r.Domain })
 }
 
@@ -200,7 +201,7 @@
 // sends one a second, so that two groups of instances that were cut off from each
 // other find each other again.
 func (r *Registrar) probes() []Transmission {
-	isSearching := r.isJoining() || len(r.owners) == 0
+	isSearching := r.IsJoining() || len(r.owners) == 0
 	if !isSearching && r.now.Sub(r.probedAt) < rareInterval {
 		return nil
 	}
--- a/internal/core/scheduler/reservation.go
+++ b/internal/core/scheduler/reservation.go
@@ -238,11 +238,17 @@
 		return
 	}
 	w := s.workers[response.Worker]
+	if w == nil {
+		// The owner has a newer list.
+		w = s.newWorker(response.Worker)
+		w.domain = p.domain
+	}
+	defer s.removeIfUnused(w)
 	if r := s.runs[runKey{response.Task, response.Run}]; r != nil && r.worker == w {
 		// The response was repeated.
 		return
 	}
-	if t == nil || t.id != response.Task || t.state != taskWaiting || w == nil || !w.listed || w.draining || s.staleRuns[response.Task.Job] > 0 || s.isResuming() {
+	if t == nil || t.id != response.Task || t.state != taskWaiting || w.removed || w.draining || s.staleRuns[response.Task.Job] > 0 || s.isResuming() {
 		out := s.outboxOf(p)
 		out.Cancellations = append(out.Cancellations, Cancellation{response.Task, response.Run})
 		return
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -131,6 +131,8 @@
 	unknownTagGrace = 400 * time.Millisecond
 	// stateInterval is how often the state that heartbeats report is updated.
 	stateInterval = 25 * time.Millisecond
+	// joinTime is how long a new instance may take to find the owners of its domain.
+	joinTime = 600 * time.Millisecond
 	// resumeDelay is how long nothing is started after a pause of this instance, so
 	// that it first learns which callers have gone.
 	resumeDelay = 50 * time.Millisecond
@@ -289,6 +291,12 @@
 // SetRunTag sets the run tag for runs that are started from now on.
 func (s *Scheduler) SetRunTag(tag namer.RunTag) { s.RunTag = tag }
 
+// NeedsWorkerList reports whether this instance has to read the worker list itself: it
+// owns workers, or it knows no owner that could supply the list.
+func (s *Scheduler) NeedsWorkerList() bool {
+	return s.isOwner || s.registrar.IsJoining() && s.now.Sub(s.startedAt) > joinTime
+}
+
 // UsableWorkers returns the number of owned workers that can accept a start.
 func (s *Scheduler) UsableWorkers() int {
 	n := 0
--- a/internal/core/scheduler/worker.go
+++ b/internal/core/scheduler/worker.go
@@ -15,9 +15,12 @@
 	service  namer.Service
 	domain   namer.Domain
 	draining bool
-	// listed is false once the platform has removed the worker from its list;
-	// the entry stays while runs of this instance may exist there.
-	listed   bool
+	// listed is false before the worker is known from the platform's list, which a peer
+	// may have newer, and once the platform has removed it. The entry stays while runs
+	// of this instance may exist there.
+	listed bool
+	// removed is set once the platform has removed the worker.
+	removed  bool
 	capacity Resources
 	labels   []string
 	// bootTime identifies the incarnation that the fields below refer to.
@@ -186,7 +189,7 @@
 		w := s.workers[info.ID]
 		switch {
 		case info.Removed && w != nil:
-			w.listed = false
+			w.listed, w.removed = false, true
 			s.ownersOutdated = true
 			s.emit(Decision{Event: eventer.WorkerRemoved, Worker: w.id})
 			s.removeIfUnused(w)
@@ -201,19 +204,31 @@
 }
 
 func (s *Scheduler) addWorker(info *WorkerInfo) {
-	w := &worker{id: info.ID, idHash: hasher.String(string(info.ID)), unackedEnds: make(map[int64]time.Time)}
-	s.workers[info.ID] = w
-	s.insertSorted(w)
-	s.ownersOutdated = true
+	w := s.newWorker(info.ID)
 	s.updateWorker(w, info)
 	s.emit(Decision{Event: eventer.WorkerListed, Worker: w.id})
 }
 
+// newWorker adds a worker to the table.
+func (s *Scheduler) newWorker(id namer.Worker) *worker {
+	w := &worker{id: id, idHash: hasher.String(string(id)), unackedEnds: make(map[int64]time.Time)}
+	s.workers[id] = w
+	s.insertSorted(w)
+	s.ownersOutdated = true
+	return w
+}
+
+// IsListed reports whether the platform lists a worker, as of the last step.
+func (s *Scheduler) IsListed(id namer.Worker) bool {
+	w := s.workers[id]
+	return w != nil && w.listed
+}
+
 func (s *Scheduler) updateWorker(w *worker, info *WorkerInfo) {
 	if info.Draining && !w.draining {
 		s.emit(Decision{Event: eventer.WorkerDraining, Worker: w.id})
 	}
-	w.service, w.domain, w.draining, w.listed = info.Service, info.Domain, info.Draining, true
+	w.service, w.domain, w.draining, w.listed, w.removed = info.Service, info.Domain, info.Draining, true, false
 	w.capacity, w.labels = info.Capacity, info.Labels
 	if info.BootTime > w.bootTime {
 		s.resetIncarnation(w, info.BootTime)
--- a/internal/edge/driver/driver.go
+++ b/internal/edge/driver/driver.go
@@ -30,6 +30,9 @@
 	idleStepInterval = 50 * time.Millisecond
 	// statusInterval is the interval between updates of Status.
 	statusInterval = 25 * time.Millisecond
+	// removedWorkerRetention is how long the address of a removed worker is kept. Its
+	// runs are over once their leases have expired.
+	removedWorkerRetention = 5 * time.Second
 	// clockJumpThreshold is the time between two steps above which a pause is logged.
 	clockJumpThreshold = 500 * time.Millisecond
 )
@@ -48,6 +51,8 @@
 	// instance or through a peer.
 	UsableWorkers      int
 	HasReachableWorker bool
+	// NeedsWorkerList reports whether this instance has to read the worker list.
+	NeedsWorkerList bool
 }
 
 // PeerSender sends messages and heartbeats to peers.
@@ -66,21 +71,29 @@
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
 
-	mu            sync.Mutex
-	resultChans   map[namer.CallID]chan scheduler.JobResult
-	workerClients map[namer.Worker]*workerClient
-	lastCall      namer.CallID
-	status        Status
-	pendingJobs   map[namer.Kind]int
-	newRunTag     *namer.RunTag
-	peerSender    PeerSender
-	heartbeats    []scheduler.HeartbeatReceived
+	mu             sync.Mutex
+	resultChans    map[namer.CallID]chan scheduler.JobResult
+	workers        map[namer.Worker]*workerEntry
+	removedWorkers []removedWorker
+	lastCall       namer.CallID
+	status         Status
+	pendingJobs    map[namer.Kind]int
+	newRunTag      *namer.RunTag
+	peerSender     PeerSender
+	heartbeats     []scheduler.HeartbeatReceived
 }
 
-// workerClient is the client of a worker together with the address that it calls.
-type workerClient struct {
-	*platform.WorkerClient
+// workerEntry is a listed worker: its address, and its client once it has been called.
+type workerEntry struct {
 	address string
+	client  *platform.WorkerClient
+}
+
+// close closes the worker's connections.
+func (e *workerEntry) close() {
+	if e.client != nil {
+		e.client.Close()
+	}
 }
 
 // New creates a scheduler and starts its event loop.
@@ -89,7 +102,7 @@
 	d := &Driver{
 		sched: scheduler.New(s, clocker.BootTime(), clocker.WallTime()), log: log, metrics: NewMetrics(),
 		events: make(chan scheduler.Event, eventBufferSize), ctx: ctx, cancel: cancel,
-		resultChans: make(map[namer.CallID]chan scheduler.JobResult), workerClients: make(map[namer.Worker]*workerClient),
+		resultChans: make(map[namer.CallID]chan scheduler.JobResult), workers: make(map[namer.Worker]*workerEntry),
 	}
 	d.wg.Add(1)
 	go func() {
@@ -104,8 +117,8 @@
 func (d *Driver) Close() {
 	d.cancel()
 	d.wg.Wait()
-	for _, c := range d.workerClients {
-		c.Close()
+	for _, w := range d.workers {
+		w.close()
 	}
 }
 
@@ -182,25 +195,67 @@
 }
 
 // UpdateWorkers passes changed entries of the platform's worker list to the
-// scheduler, and creates the clients of workers whose address is new.
+// scheduler. The address of a removed worker is kept while the scheduler may still
+// have to stop runs there.
 func (d *Driver) UpdateWorkers(entries []platform.WorkerEntry) {
 	var e scheduler.WorkerListUpdated
 	d.mu.Lock()
 	for _, w := range entries {
 		e.Workers = append(e.Workers, w.WorkerInfo)
-		old := d.workerClients[w.ID]
-		if w.Removed || old != nil && old.address == w.Address {
+		old := d.workers[w.ID]
+		if w.Removed {
+			if old != nil {
+				d.removedWorkers = append(d.removedWorkers, removedWorker{w.ID, time.Now()})
+			}
+			continue
+		}
+		if old != nil && old.address == w.Address {
 			continue
 		}
 		if old != nil {
-			old.Close()
+			old.close()
 		}
-		d.workerClients[w.ID] = &workerClient{platform.NewWorkerClient(w.ID, w.Address), w.Address}
+		d.workers[w.ID] = &workerEntry{address: w.Address}
 	}
 	d.mu.Unlock()
 	d.PushEvent(e)
 }
 
+// removedWorker is a worker that was removed from the list at a time.
+type removedWorker struct {
+	id        namer.Worker
+	removedAt time.Time
+}
+
+// forgetRemovedWorkers discards the addresses and connections of workers that were
+// removed removedWorkerRetention ago and have not been listed again.
+func (d *Driver) forgetRemovedWorkers() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for len(d.removedWorkers) > 0 && time.Since(d.removedWorkers[0].removedAt) > removedWorkerRetention {
+		id := d.removedWorkers[0].id
+		d.removedWorkers = d.removedWorkers[1:]
+		if w := d.workers[id]; w != nil && !d.sched.IsListed(id) {
+			w.close()
+			delete(d.workers, id)
+		}
+	}
+}
+
+// clientOf returns the client of a worker, nil if its address is unknown.
+func (d *Driver) clientOf(id namer.Worker) *platform.WorkerClient {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	w := d.workers[id]
+	if w == nil {
+		return nil
+	}
+	if w.client == nil {
+		w.client = platform.NewWorkerClient(id, w.address)
+	}
+	return w.client
+}
+
 // Status returns the status as of the last update.
 func (d *Driver) Status() Status {
 	d.mu.Lock()
@@ -295,13 +350,14 @@
 func (d *Driver) publishStatus() {
 	status := Status{
 		OpenJobs: d.sched.OpenJobs(), WaitingTasks: d.sched.WaitingTasks(), Idle: d.sched.Idle(), UsableWorkers: d.sched.UsableWorkers(),
-		HasReachableWorker: d.sched.HasReachableWorker(),
+		HasReachableWorker: d.sched.HasReachableWorker(), NeedsWorkerList: d.sched.NeedsWorkerList(),
 	}
 	pending := d.sched.PendingJobsByKind()
 	d.mu.Lock()
 	d.status, d.pendingJobs = status, pending
 	d.mu.Unlock()
 	d.metrics.recordStatus(status)
+	d.forgetRemovedWorkers()
 }
 
 // performAction performs an action of the scheduler without waiting for calls to
@@ -311,15 +367,15 @@
 	case scheduler.JobResult:
 		d.deliverResult(a)
 	case scheduler.Start:
-		d.callWorker(a.Worker, func(c *workerClient) { d.startRun(c, a) }, scheduler.StartResult{
+		d.callWorker(a.Worker, func(c *platform.WorkerClient) { d.startRun(c, a) }, scheduler.StartResult{
 			Worker: a.Worker, Task: a.Task, Run: a.Run, Status: scheduler.StartNoResponse,
 		})
 	case scheduler.Stop:
-		d.callWorker(a.Worker, func(c *workerClient) { d.PushEvent(c.StopRun(d.ctx, a)) }, scheduler.StopResult{
+		d.callWorker(a.Worker, func(c *platform.WorkerClient) { d.PushEvent(c.StopRun(d.ctx, a)) }, scheduler.StopResult{
 			Worker: a.Worker, Task: a.Task, Run: a.Run,
 		})
 	case scheduler.Poll:
-		d.callWorker(a.Worker, func(c *workerClient) { d.pollWorker(c, a) }, scheduler.PollResult{Worker: a.Worker, OutOfBand: a.OutOfBand, NoResponse: true})
+		d.callWorker(a.Worker, func(c *platform.WorkerClient) { d.pollWorker(c, a) }, scheduler.PollResult{Worker: a.Worker, OutOfBand: a.OutOfBand, NoResponse: true})
 	case scheduler.SendMessage:
 		d.sendToPeers(func(s PeerSender) { s.SendMessage(a.To, a.Message) })
 	case scheduler.SendHeartbeats:
@@ -333,10 +389,8 @@
 // callWorker runs a call to a worker in its own goroutine. If the worker has no
 // known address, it pushes noResponse instead, the event for a call without a
 // response.
-func (d *Driver) callWorker(w namer.Worker, call func(*workerClient), noResponse scheduler.Event) {
-	d.mu.Lock()
-	c := d.workerClients[w]
-	d.mu.Unlock()
+func (d *Driver) callWorker(w namer.Worker, call func(*platform.WorkerClient), noResponse scheduler.Event) {
+	c := d.clientOf(w)
 	d.wg.Add(1)
 	go func() {
 		defer d.wg.Done()
@@ -358,7 +412,7 @@
 	}
 }
 
-func (d *Driver) startRun(c *workerClient, a scheduler.Start) {
+func (d *Driver) startRun(c *platform.WorkerClient, a scheduler.Start) {
 	sentAt := clocker.ApproxBootTime()
 	result := scheduler.StartResult{Worker: a.Worker, Task: a.Task, Run: a.Run}
 	result.Status, result.Clock = c.StartRun(d.ctx, a)
@@ -367,7 +421,7 @@
 	d.PushEvent(result)
 }
 
-func (d *Driver) pollWorker(c *workerClient, a scheduler.Poll) {
+func (d *Driver) pollWorker(c *platform.WorkerClient, a scheduler.Poll) {
 	sentAt := clocker.ApproxBootTime()
 	result, err := c.PollRuns(d.ctx, a)
 	result.SentAt = sentAt
--- /dev/null
+++ b/internal/edge/follower/copy.go
@@ -0,0 +1,138 @@
+package follower
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/heatherslip/heatherslip/platform"
+)
+
+const (
+	// copyFetchTimeout bounds the fetch of a peer's copy.
+	copyFetchTimeout = 500 * time.Millisecond
+	// maxCopyBytes bounds a peer's copy. It holds a large configuration and 3,000
+	// workers.
+	maxCopyBytes = 8 << 20
+	// CopyPath is the URL path at which ServeHTTP has to be registered for peers.
+	CopyPath = "/copy"
+	// fromQueryKey is the query parameter for the offset up to which the peer has the
+	// worker list.
+	fromQueryKey = "from"
+)
+
+// StoreCopy is the response to a peer that fetches a copy: the configuration, and
+// the records of the worker list that the peer doesn't have.
+type StoreCopy struct {
+	Config  platform.Record   `cbor:"1,keyasint"`
+	Workers []platform.Record `cbor:"2,keyasint"`
+	// NextWorkerOffset is the offset up to which the worker list is complete.
+	NextWorkerOffset uint64 `cbor:"3,keyasint"`
+	// IsFullList is set if Workers has all workers, not only what has changed.
+	IsFullList bool `cbor:"4,keyasint,omitempty"`
+}
+
+// Offsets returns what heartbeats report: the offset after the configuration's
+// record, zero if there is none, and the offset after the last change of the worker
+// list.
+func (f *Follower) Offsets() (config, workers uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.configOffset(), f.list.changeOffset
+}
+
+// configOffset returns the offset after the configuration's record, zero if there is
+// none. The caller holds the lock.
+func (f *Follower) configOffset() uint64 {
+	if f.configRecord.Value == nil {
+		return 0
+	}
+	return f.configRecord.Offset + 1
+}
+
+// ServeHTTP sends a StoreCopy to a peer.
+func (f *Follower) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	fromOffset, err := strconv.ParseUint(r.URL.Query().Get(fromQueryKey), 10, 64)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	f.mu.Lock()
+	c := StoreCopy{Config: f.configRecord, NextWorkerOffset: f.list.nextOffset}
+	c.Workers, c.IsFullList = f.list.copyFrom(fromOffset)
+	f.mu.Unlock()
+	b, err := cbor.Marshal(c)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	// A write error means that the peer has disconnected.
+	_, _ = w.Write(b)
+}
+
+// FetchFromPeer starts to fetch a peer's copy if the peer has a newer configuration,
+// or if it has a newer worker list and this instance doesn't read the list itself or
+// can't. config and workers are the peer's Offsets. A newer list alone is fetched at
+// most once per workerListInterval.
+func (f *Follower) FetchFromPeer(address string, config, workers uint64) {
+	readsList := f.readsList()
+	f.mu.Lock()
+	isConfigNewer := config > f.configOffset()
+	isIncomplete := f.configRecord.Value == nil || f.list.nextOffset == 0
+	isListNewer := workers > f.list.nextOffset && (isIncomplete || !readsList || f.readFailed[platform.WorkersTopic])
+	fromOffset := f.list.nextOffset
+	skip := f.fetchingCopy || !isConfigNewer && (!isListNewer || !isIncomplete && f.now().Before(f.nextListFetch))
+	if !skip {
+		f.fetchingCopy = true
+		f.nextListFetch = f.now().Add(workerListInterval)
+	}
+	f.mu.Unlock()
+	if skip || f.ctx.Err() != nil {
+		return
+	}
+	f.wg.Add(1)
+	go func() {
+		defer f.wg.Done()
+		if err := f.fetchCopy(address, fromOffset); err != nil {
+			f.log.Debug().Str("peer", address).Err(err).Msg("fetch of the store copy from a peer failed")
+		}
+		f.mu.Lock()
+		f.fetchingCopy = false
+		f.mu.Unlock()
+	}()
+}
+
+// fetchCopy fetches a peer's copy, with the changes of the worker list from an offset
+// on, and applies what is newer.
+func (f *Follower) fetchCopy(address string, fromOffset uint64) error {
+	url := fmt.Sprintf("http://%s%s?%s=%d", address, CopyPath, fromQueryKey, fromOffset)
+	req, err := http.NewRequestWithContext(f.ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return fmt.Errorf("fetch copy: %w", err)
+	}
+	resp, err := f.peerClient.Do(req)
+	if err != nil {
+		return fmt.Errorf("fetch copy: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("fetch copy: status %d", resp.StatusCode)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxCopyBytes))
+	if err != nil {
+		return fmt.Errorf("fetch copy: %w", err)
+	}
+	var c StoreCopy
+	if err := cbor.Unmarshal(body, &c); err != nil {
+		return fmt.Errorf("decode copy: %w", err)
+	}
+	f.applyConfig([]platform.Record{c.Config})
+	if c.NextWorkerOffset > 0 {
+		f.applyWorkers(c.Workers, c.NextWorkerOffset, c.IsFullList)
+	}
+	return nil
+}
--- a/internal/edge/follower/follower.go
+++ b/internal/edge/follower/follower.go
@@ -1,20 +1,17 @@
 // Package follower keeps an instance's copy of the data in the platform's store,
-// the configuration and the worker list, up to date. While the store can't be
-// reached it fetches newer copies from peers.
+// the configuration and the worker list, up to date. All instances read the
+// configuration. Those that own workers read the worker list too; the others, and
+// those that can't reach the store, fetch newer copies from peers.
 package follower
 
 import (
 	"context"
 	"errors"
-	"fmt"
-	"io"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/heatherslip/heatherslip/internal/wire/eventer"
@@ -29,25 +26,21 @@
 	// workerListInterval is the interval between reads of the worker list. A removed
 	// worker must get no more starts after 2 s.
 	workerListInterval = 500 * time.Millisecond
+	// roleCheckInterval is how often an instance that doesn't read the worker list
+	// checks whether it has to.
+	roleCheckInterval = 50 * time.Millisecond
 	// initialRetryDelay and maxRetryDelay bound the backoff while the store is down.
 	initialRetryDelay = 100 * time.Millisecond
 	maxRetryDelay     = time.Second
-	// copyFetchTimeout bounds the fetch of a peer's copy.
-	copyFetchTimeout = 500 * time.Millisecond
-	// maxCopyBytes bounds a peer's copy. It holds a large configuration and 3,000
-	// workers.
-	maxCopyBytes = 8 << 20
-	// CopyPath is the URL path at which ServeHTTP has to be registered for peers.
-	CopyPath = "/copy"
 )
 
-// StoreCopy is the response to a peer that fetches a copy: the configuration, and
-// the records of the worker list that the peer doesn't have.
-type StoreCopy struct {
-	Config  platform.Record   `cbor:"1,keyasint"`
-	Workers []platform.Record `cbor:"2,keyasint"`
-	// NextWorkerOffset is the offset up to which the worker list has been read.
-	NextWorkerOffset uint64 `cbor:"3,keyasint"`
+// Receiver is told what is new. Its methods are called one at a time, from several
+// goroutines.
+type Receiver interface {
+	// ApplyConfig applies a newer record of the configuration.
+	ApplyConfig(platform.Record)
+	// ApplyWorkers applies changes of the worker list.
+	ApplyWorkers([]WorkerChange)
 }
 
 // Follower follows the topics of the store. Create one with New.
@@ -55,17 +48,21 @@
 	store      *platform.StoreClient
 	log        zerolog.Logger
 	peerClient *http.Client
-	// onNewRecords is called with new records, oldest first.
-	onNewRecords func(platform.Topic, []platform.Record)
-	ctx          context.Context
-	cancel       context.CancelFunc
-	wg           sync.WaitGroup
-
-	mu               sync.Mutex
-	configRecord     platform.Record
-	workerRecords    map[string]platform.Record
-	nextWorkerOffset uint64
-	readFailed       map[platform.Topic]bool
+	receiver   Receiver
+	// readsList reports whether this instance reads the worker list from the store.
+	readsList func() bool
+	ctx       context.Context
+	cancel    context.CancelFunc
+	wg        sync.WaitGroup
+
+	// applying is held while something new is stored and passed to the receiver, so
+	// that it gets everything in the order of the offsets.
+	applying sync.Mutex
+
+	mu           sync.Mutex
+	configRecord platform.Record
+	list         *workerList
+	readFailed   map[platform.Topic]bool
 	// fetchingCopy is set while a copy is being fetched from a peer.
 	fetchingCopy bool
 	// nextListFetch is the earliest time of the next fetch for the worker list alone.
@@ -73,24 +70,24 @@
 	now           func() time.Time
 }
 
-// New starts to follow the store. It calls onNewRecords from several goroutines;
-// a worker record without a value says that the worker was removed.
-func New(store *platform.StoreClient, log zerolog.Logger, onNewRecords func(platform.Topic, []platform.Record)) *Follower {
+// New starts to follow the store. It reads the worker list as long as readsList
+// returns true.
+func New(store *platform.StoreClient, log zerolog.Logger, receiver Receiver, readsList func() bool) *Follower {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Follower{
-		store: store, log: log, onNewRecords: onNewRecords, ctx: ctx, cancel: cancel,
-		peerClient:    &http.Client{Timeout: copyFetchTimeout},
-		now:           time.Now,
-		workerRecords: make(map[string]platform.Record), readFailed: make(map[platform.Topic]bool),
+		store: store, log: log, receiver: receiver, readsList: readsList, ctx: ctx, cancel: cancel,
+		peerClient: &http.Client{Timeout: copyFetchTimeout},
+		now:        time.Now,
+		list:       newWorkerList(), readFailed: make(map[platform.Topic]bool),
 	}
 	f.wg.Add(2)
 	go func() {
 		defer f.wg.Done()
-		f.followTopic(platform.OperatorTopic, configPollWait, 0)
+		f.followConfig()
 	}()
 	go func() {
 		defer f.wg.Done()
-		f.followTopic(platform.WorkersTopic, 0, workerListInterval)
+		f.followWorkers()
 	}()
 	return f
 }
@@ -103,100 +100,106 @@
 	f.peerClient.CloseIdleConnections()
 }
 
-// followTopic reads the newest record of each key of a topic and then the records
-// appended to it, until the follower is closed.
-func (f *Follower) followTopic(t platform.Topic, pollWait, readInterval time.Duration) {
+// topicReader reads a topic: the newest record of each key first, and then what was
+// appended since.
+type topicReader struct {
+	f     *Follower
+	topic platform.Topic
+	// pollWait is how long a read waits for a new record.
+	pollWait time.Duration
+	retry    *backoff.ExponentialBackOff
+	synced   bool
+	next     uint64
+}
+
+func (f *Follower) newTopicReader(t platform.Topic, pollWait time.Duration) *topicReader {
 	retry := &backoff.ExponentialBackOff{
 		InitialInterval: initialRetryDelay, RandomizationFactor: backoff.DefaultRandomizationFactor,
 		Multiplier: 2, MaxInterval: maxRetryDelay,
 	}
 	retry.Reset()
-	synced := false
-	var next uint64
-	for f.ctx.Err() == nil {
-		var records []platform.Record
-		var err error
-		if synced {
-			records, next, err = f.store.ReadRecords(f.ctx, t, next, pollWait)
-		} else {
-			records, next, err = f.store.ReadNewest(f.ctx, t)
-			if err == nil && t == platform.WorkersTopic {
-				records = f.appendRemovals(records, next)
-			}
-		}
-		f.recordReadResult(t, err)
-		if err != nil {
-			synced = synced && !errors.Is(err, platform.ErrOffsetOutOfRange)
-			f.sleep(retry.NextBackOff())
-			continue
-		}
-		retry.Reset()
-		synced = true
-		f.applyNewer(t, records, next)
-		f.sleep(readInterval)
-	}
+	return &topicReader{f: f, topic: t, pollWait: pollWait, retry: retry}
 }
 
-// appendRemovals adds a record without a value for each worker that is missing
-// from a full read of the worker list.
-func (f *Follower) appendRemovals(records []platform.Record, nextOffset uint64) []platform.Record {
-	listed := make(map[string]bool, len(records))
-	for _, r := range records {
-		listed[r.Key] = true
+// read returns new records, the offset up to which the topic was read, and whether the
+// records are those of all keys. If it fails, it returns after a pause and ok is false.
+func (r *topicReader) read() (records []platform.Record, next uint64, isFull, ok bool) {
+	isFull = !r.synced
+	var err error
+	if isFull {
+		records, next, err = r.f.store.ReadNewest(r.f.ctx, r.topic)
+	} else {
+		records, next, err = r.f.store.ReadRecords(r.f.ctx, r.topic, r.next, r.pollWait)
+	}
+	r.f.recordReadResult(r.topic, err)
+	if err != nil {
+		r.synced = r.synced && !errors.Is(err, platform.ErrOffsetOutOfRange)
+		r.f.sleep(r.retry.NextBackOff())
+		return nil, 0, false, false
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for key, r := range f.workerRecords {
-		if !listed[key] && r.Offset < nextOffset {
-			records = append(records, platform.Record{Key: key, Offset: nextOffset})
+	r.retry.Reset()
+	r.synced, r.next = true, next
+	return records, next, isFull, true
+}
+
+// followConfig reads the configuration until the follower is closed.
+func (f *Follower) followConfig() {
+	reader := f.newTopicReader(platform.OperatorTopic, configPollWait)
+	for f.ctx.Err() == nil {
+		if records, _, _, ok := reader.read(); ok {
+			f.applyConfig(records)
 		}
 	}
-	return records
 }
 
-// applyNewer stores the records that are newer than the stored ones and passes
-// them to onNewRecords.
-func (f *Follower) applyNewer(t platform.Topic, records []platform.Record, nextOffset uint64) {
-	f.mu.Lock()
-	var newer []platform.Record
-	for _, r := range records {
-		if f.storeIfNewer(t, r) {
-			newer = append(newer, r)
+// followWorkers reads the worker list until the follower is closed. After a time
+// without reading it begins with the full list.
+func (f *Follower) followWorkers() {
+	reader := f.newTopicReader(platform.WorkersTopic, 0)
+	for f.ctx.Err() == nil {
+		if !f.readsList() {
+			reader.synced = false
+			f.sleep(roleCheckInterval)
+			continue
+		}
+		if records, next, isFull, ok := reader.read(); ok {
+			f.applyWorkers(records, next, isFull)
+			f.sleep(workerListInterval)
 		}
-	}
-	if t == platform.WorkersTopic {
-		f.nextWorkerOffset = max(f.nextWorkerOffset, nextOffset)
-	}
-	f.mu.Unlock()
-	if len(newer) > 0 {
-		f.onNewRecords(t, newer)
 	}
 }
 
-// storeIfNewer stores a record if it is newer than the stored one for its key. It
-// reports whether the record has to be passed on. The caller holds the lock.
-func (f *Follower) storeIfNewer(t platform.Topic, r platform.Record) bool {
-	if t == platform.OperatorTopic {
+// applyConfig stores the newest of the records of the configuration and passes it on
+// if it is newer than the stored one.
+func (f *Follower) applyConfig(records []platform.Record) {
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	for _, r := range records {
 		if r.Key != platform.ConfigKey || len(r.Value) == 0 {
-			return false
+			continue
 		}
-		if f.configRecord.Value != nil && r.Offset <= f.configRecord.Offset {
-			return false
+		f.mu.Lock()
+		isNewer := f.configRecord.Value == nil || r.Offset > f.configRecord.Offset
+		if isNewer {
+			f.configRecord = r
+		}
+		f.mu.Unlock()
+		if isNewer {
+			f.receiver.ApplyConfig(r)
 		}
-		f.configRecord = r
-		return true
-	}
-	old, known := f.workerRecords[r.Key]
-	if known && r.Offset <= old.Offset || !known && r.Offset < f.nextWorkerOffset {
-		// An unknown key with an offset that was already read has been removed since.
-		return false
 	}
-	if len(r.Value) == 0 {
-		delete(f.workerRecords, r.Key)
-		return known
+}
+
+// applyWorkers applies records of the worker list and passes changes on.
+func (f *Follower) applyWorkers(records []platform.Record, nextOffset uint64, isFull bool) {
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	f.mu.Lock()
+	changes := f.list.apply(records, nextOffset, isFull)
+	f.mu.Unlock()
+	if len(changes) > 0 {
+		f.receiver.ApplyWorkers(changes)
 	}
-	f.workerRecords[r.Key] = r
-	return true
 }
 
 // recordReadResult updates whether the store can be reached and logs changes. An
@@ -224,107 +227,6 @@
 	return f.readFailed[platform.OperatorTopic] || f.readFailed[platform.WorkersTopic]
 }
 
-// NextOffsets returns the offset after the configuration's record, zero if there
-// is none, and the offset up to which the worker list has been read.
-func (f *Follower) NextOffsets() (config, workers uint64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.configRecord.Value != nil {
-		config = f.configRecord.Offset + 1
-	}
-	return config, f.nextWorkerOffset
-}
-
-// fromQueryKey is the query parameter for the offset up to which the peer has the
-// worker list.
-const fromQueryKey = "from"
-
-// ServeHTTP sends a StoreCopy to a peer.
-func (f *Follower) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	fromOffset, err := strconv.ParseUint(r.URL.Query().Get(fromQueryKey), 10, 64)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	f.mu.Lock()
-	c := StoreCopy{Config: f.configRecord, NextWorkerOffset: f.nextWorkerOffset}
-	for _, r := range f.workerRecords {
-		if r.Offset >= fromOffset {
-			c.Workers = append(c.Workers, r)
-		}
-	}
-	f.mu.Unlock()
-	b, err := cbor.Marshal(c)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	// A write error means that the peer has disconnected.
-	_, _ = w.Write(b)
-}
-
-// FetchFromPeer starts to fetch a peer's copy if the peer has a newer
-// configuration, or if it has a newer worker list and either the store is down or
-// this instance has no configuration or no list yet. nextConfig and nextWorker are
-// the peer's NextOffsets. Each heartbeat of a worker adds a record to the list, so
-// a newer list alone is fetched at most once per workerListInterval.
-func (f *Follower) FetchFromPeer(address string, nextConfig, nextWorker uint64) {
-	ownNextConfig, ownNextWorker := f.NextOffsets()
-	incomplete := ownNextConfig == 0 || ownNextWorker == 0
-	if nextConfig <= ownNextConfig && (nextWorker <= ownNextWorker || !f.StoreDown() && !incomplete) {
-		return
-	}
-	f.mu.Lock()
-	skip := f.fetchingCopy || nextConfig <= ownNextConfig && !incomplete && f.now().Before(f.nextListFetch)
-	if !skip {
-		f.fetchingCopy = true
-		f.nextListFetch = f.now().Add(workerListInterval)
-	}
-	f.mu.Unlock()
-	if skip || f.ctx.Err() != nil {
-		return
-	}
-	f.wg.Add(1)
-	go func() {
-		defer f.wg.Done()
-		if err := f.fetchCopy(address, ownNextWorker); err != nil {
-			f.log.Debug().Str("peer", address).Err(err).Msg("fetch of the store copy from a peer failed")
-		}
-		f.mu.Lock()
-		f.fetchingCopy = false
-		f.mu.Unlock()
-	}()
-}
-
-// fetchCopy fetches a peer's copy, with the worker records from an offset on, and
-// applies what is newer.
-func (f *Follower) fetchCopy(address string, fromOffset uint64) error {
-	url := fmt.Sprintf("http://%s%s?%s=%d", address, CopyPath, fromQueryKey, fromOffset)
-	req, err := http.NewRequestWithContext(f.ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return fmt.Errorf("fetch copy: %w", err)
-	}
-	resp, err := f.peerClient.Do(req)
-	if err != nil {
-		return fmt.Errorf("fetch copy: %w", err)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("fetch copy: status %d", resp.StatusCode)
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxCopyBytes))
-	if err != nil {
-		return fmt.Errorf("fetch copy: %w", err)
-	}
-	var c StoreCopy
-	if err := cbor.Unmarshal(body, &c); err != nil {
-		return fmt.Errorf("decode copy: %w", err)
-	}
-	f.applyNewer(platform.OperatorTopic, []platform.Record{c.Config}, 0)
-	f.applyNewer(platform.WorkersTopic, c.Workers, c.NextWorkerOffset)
-	return nil
-}
-
 // sleep waits for d or until the follower is closed.
 func (f *Follower) sleep(d time.Duration) {
 	if d <= 0 {
--- a/internal/edge/follower/follower_test.go
+++ b/internal/edge/follower/follower_test.go
@@ -1,10 +1,13 @@
 package follower
 
 import (
+	"fmt"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,6 +16,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 
+	"github.com/heatherslip/heatherslip/internal/wire/namer"
 	"github.com/heatherslip/heatherslip/platform"
 	"github.com/heatherslip/heatherslip/platform/emulator"
 )
@@ -23,26 +27,51 @@
 	workersTopic  = string(platform.WorkersTopic)
 )
 
-// recordingFollower is a follower together with the last value of each key that it
-// has passed on.
+// workerValue returns an entry of the worker list with an address. The sequence
+// changes with each heartbeat of a worker.
+func workerValue(address string, sequence int) []byte {
+	return fmt.Appendf(nil, `{"Service":"s","Address":%q,"Zone":"z","State":"ready","Capacity":{"Cpu":1000},"Sequence":%d}`, address, sequence)
+}
+
+// recordingFollower is a follower together with what it has passed on: the last
+// configuration, and the addresses of the listed workers.
 type recordingFollower struct {
 	*Follower
-	mu     sync.Mutex
-	values map[string]string
+	// readsList is what the follower is told about reading the worker list.
+	readsList atomic.Bool
+
+	mu        sync.Mutex
+	config    string
+	addresses map[namer.Worker]string
+	// changes counts the changes of the worker list.
+	changes int
 }
 
-func newRecordingFollower(t *testing.T, store *emulator.Store) *recordingFollower {
+func (f *recordingFollower) ApplyConfig(r platform.Record) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.config = string(r.Value)
+}
+
+func (f *recordingFollower) ApplyWorkers(changes []WorkerChange) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range changes {
+		f.changes++
+		delete(f.addresses, c.Entry.ID)
+		if !c.Entry.Removed {
+			f.addresses[c.Entry.ID] = c.Entry.Address
+		}
+	}
+}
+
+func newRecordingFollower(t *testing.T, store *emulator.Store, readsList bool) *recordingFollower {
 	t.Helper()
 	srv := httptest.NewServer(store)
 	t.Cleanup(srv.Close)
-	f := &recordingFollower{values: make(map[string]string)}
-	f.Follower = New(platform.NewStoreClient(strings.TrimPrefix(srv.URL, "http://")), zerolog.Nop(), func(_ platform.Topic, records []platform.Record) {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		for _, r := range records {
-			f.values[r.Key] = string(r.Value)
-		}
-	})
+	f := &recordingFollower{addresses: make(map[namer.Worker]string)}
+	f.readsList.Store(readsList)
+	f.Follower = New(platform.NewStoreClient(strings.TrimPrefix(srv.URL, "http://")), zerolog.Nop(), f, f.readsList.Load)
 	t.Cleanup(f.Close)
 	return f
 }
@@ -53,10 +82,10 @@
 	t.Helper()
 	store := &emulator.Store{}
 	store.Put(operatorTopic, platform.ConfigKey, []byte("1"))
-	store.Put(workersTopic, "i-1", []byte("a"))
-	f := newRecordingFollower(t, store)
-	f.waitForValue(t, platform.ConfigKey, "1")
-	f.waitForValue(t, "i-1", "a")
+	store.Put(workersTopic, "i-1", workerValue("a", 1))
+	f := newRecordingFollower(t, store, true)
+	f.waitForConfig(t, "1")
+	f.waitForWorkers(t, map[namer.Worker]string{"i-1": "a"})
 	return store, f
 }
 
@@ -65,16 +94,44 @@
 	t.Helper()
 	store := &emulator.Store{}
 	store.SetUnavailable(true)
-	return newRecordingFollower(t, store)
+	return newRecordingFollower(t, store, true)
 }
 
-// waitForValue waits until a key has a value.
-func (f *recordingFollower) waitForValue(t *testing.T, key, value string) {
+// newPeerServer serves the copies of a follower and returns its address.
+func newPeerServer(t *testing.T, h http.Handler) string {
+	t.Helper()
+	srv := httptest.NewServer(h)
+	t.Cleanup(srv.Close)
+	return strings.TrimPrefix(srv.URL, "http://")
+}
+
+func (f *recordingFollower) waitForConfig(t *testing.T, value string) {
+	t.Helper()
+	waitUntil(t, func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.config == value
+	})
+}
+
+func (f *recordingFollower) waitForWorkers(t *testing.T, addresses map[namer.Worker]string) {
 	t.Helper()
 	waitUntil(t, func() bool {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		return f.values[key] == value
+		return maps.Equal(f.addresses, addresses)
+	})
+}
+
+// fetchFrom fetches what a peer has that is newer, and waits until that is done.
+func (f *recordingFollower) fetchFrom(t *testing.T, peer *recordingFollower, address string) {
+	t.Helper()
+	config, workers := peer.Offsets()
+	f.FetchFromPeer(address, config, workers)
+	waitUntil(t, func() bool {
+		f.Follower.mu.Lock()
+		defer f.Follower.mu.Unlock()
+		return !f.fetchingCopy
 	})
 }
 
@@ -89,51 +146,138 @@
 func TestFollowTopics(t *testing.T) {
 	store, f := newSyncedFollower(t)
 	store.Put(operatorTopic, platform.ConfigKey, []byte("2"))
-	store.Put(workersTopic, "i-1", []byte("b"))
-	f.waitForValue(t, platform.ConfigKey, "2")
-	f.waitForValue(t, "i-1", "b")
+	store.Put(workersTopic, "i-1", workerValue("b", 2))
+	f.waitForConfig(t, "2")
+	f.waitForWorkers(t, map[namer.Worker]string{"i-1": "b"})
 
 	// The store discards records that were not read yet. The follower has to read
 	// the newest records again and pass on missing workers as removed.
 	store.SetUnavailable(true)
 	store.Put(workersTopic, "i-1", nil)
-	store.Put(workersTopic, "i-2", []byte("c"))
+	store.Put(workersTopic, "i-2", workerValue("c", 1))
 	store.Compact(workersTopic)
 	store.SetUnavailable(false)
-	f.waitForValue(t, "i-2", "c")
-	f.waitForValue(t, "i-1", "")
+	f.waitForWorkers(t, map[namer.Worker]string{"i-2": "c"})
+}
+
+// TestHeartbeatsOfWorkersChangeNothing checks that records that say nothing new of a
+// worker are not passed on, and don't make peers fetch the list.
+func TestHeartbeatsOfWorkersChangeNothing(t *testing.T) {
+	store, f := newSyncedFollower(t)
+	_, before := f.Offsets()
+	for n := range 20 {
+		store.Put(workersTopic, "i-1", workerValue("a", n+2))
+	}
+	store.Put(workersTopic, "i-2", workerValue("b", 1))
+	f.waitForWorkers(t, map[namer.Worker]string{"i-1": "a", "i-2": "b"})
+	must.Eq(t, 2, f.changes)
+	_, after := f.Offsets()
+	must.Eq(t, before+21, after)
+	for n := range 20 {
+		store.Put(workersTopic, "i-2", workerValue("b", n+2))
+	}
+	waitUntil(t, func() bool {
+		f.Follower.mu.Lock()
+		defer f.Follower.mu.Unlock()
+		return f.list.nextOffset == after+20
+	})
+	_, last := f.Offsets()
+	must.Eq(t, after, last)
 }
 
 // TestFetchFromPeer checks that a follower whose store is down gets the store's
 // data from a peer, and that older records don't replace newer ones.
 func TestFetchFromPeer(t *testing.T) {
 	_, synced := newSyncedFollower(t)
-	peerServer := httptest.NewServer(synced)
-	defer peerServer.Close()
-
 	disconnected := newDisconnectedFollower(t)
-	config, workers := synced.NextOffsets()
+	disconnected.fetchFrom(t, synced, newPeerServer(t, synced))
+	disconnected.waitForConfig(t, "1")
+	disconnected.waitForWorkers(t, map[namer.Worker]string{"i-1": "a"})
+
+	disconnected.applyConfig([]platform.Record{{Key: platform.ConfigKey, Value: []byte("0"), Offset: 0}})
+	disconnected.applyWorkers([]platform.Record{{Key: "i-0", Value: workerValue("z", 1), Offset: 0}}, 1, true)
+	disconnected.waitForConfig(t, "1")
+	disconnected.waitForWorkers(t, map[namer.Worker]string{"i-1": "a"})
+}
+
+// TestListIsReadByOwnersOnly checks that an instance that has no need to does not read
+// the worker list from the store, gets changes from a peer, and reads the list once it
+// has to. Its store is down, so that a read fails.
+func TestListIsReadByOwnersOnly(t *testing.T) {
+	store, owner := newSyncedFollower(t)
+	address := newPeerServer(t, owner)
+	unavailable := &emulator.Store{}
+	unavailable.SetUnavailable(true)
+	member := newRecordingFollower(t, unavailable, false)
+	member.fetchFrom(t, owner, address)
+	member.waitForWorkers(t, map[namer.Worker]string{"i-1": "a"})
+	store.Put(workersTopic, "i-1", nil)
+	store.Put(workersTopic, "i-2", workerValue("b", 1))
+	owner.waitForWorkers(t, map[namer.Worker]string{"i-2": "b"})
+	member.Follower.mu.Lock()
+	member.nextListFetch = time.Time{}
+	member.Follower.mu.Unlock()
+	member.fetchFrom(t, owner, address)
+	member.waitForWorkers(t, map[namer.Worker]string{"i-2": "b"})
+	member.Follower.mu.Lock()
+	must.False(t, member.readFailed[platform.WorkersTopic])
+	member.Follower.mu.Unlock()
+
+	member.readsList.Store(true)
 	waitUntil(t, func() bool {
-		disconnected.FetchFromPeer(strings.TrimPrefix(peerServer.URL, "http://"), config, workers)
-		gotConfig, _ := disconnected.NextOffsets()
-		return gotConfig == config
+		member.Follower.mu.Lock()
+		defer member.Follower.mu.Unlock()
+		return member.readFailed[platform.WorkersTopic]
 	})
-	disconnected.waitForValue(t, platform.ConfigKey, "1")
-	disconnected.waitForValue(t, "i-1", "a")
+}
 
-	// An older record changes nothing.
-	disconnected.applyNewer(platform.OperatorTopic, []platform.Record{{Key: platform.ConfigKey, Value: []byte("0"), Offset: 0}}, 0)
-	disconnected.waitForValue(t, platform.ConfigKey, "1")
+// TestRemovedWorkerStaysRemoved guards against a worker that has left being in use again
+// at an instance that got its list from a peer that was behind.
+func TestRemovedWorkerStaysRemoved(t *testing.T) {
+	cases := map[string]func(l *workerList){
+		"the newer peer saw the removal": func(*workerList) {},
+		"the newer peer has forgotten which workers were removed": func(l *workerList) {
+			l.removals, l.firstOffset = make(map[string]uint64), l.nextOffset
+		},
+	}
+	for name, forget := range cases {
+		t.Run(name, func(t *testing.T) {
+			store, behind := newSyncedFollower(t)
+			newer := newRecordingFollower(t, store, true)
+			newer.waitForWorkers(t, map[namer.Worker]string{"i-1": "a"})
+			behind.readsList.Store(false)
+			restarted := newDisconnectedFollower(t)
+			restarted.fetchFrom(t, behind, newPeerServer(t, behind))
+			restarted.waitForWorkers(t, map[namer.Worker]string{"i-1": "a"})
+
+			store.Put(workersTopic, "i-2", workerValue("b", 1))
+			store.Put(workersTopic, "i-1", nil)
+			newer.waitForWorkers(t, map[namer.Worker]string{"i-2": "b"})
+			newer.Follower.mu.Lock()
+			forget(newer.list)
+			newer.Follower.mu.Unlock()
+			restarted.Follower.mu.Lock()
+			restarted.nextListFetch = time.Time{}
+			restarted.Follower.mu.Unlock()
+			waitUntil(t, restarted.StoreDown)
+			address := newPeerServer(t, newer)
+			restarted.fetchFrom(t, newer, address)
+			restarted.waitForWorkers(t, map[namer.Worker]string{"i-2": "b"})
+
+			// The peer that is behind does not bring the worker back.
+			restarted.fetchFrom(t, behind, newPeerServer(t, behind))
+			restarted.waitForWorkers(t, map[namer.Worker]string{"i-2": "b"})
+		})
+	}
 }
 
-// TestWorkerListFetchInterval checks that a worker list that grows all the time is
-// fetched from peers only once per workerListInterval, and that only new records
-// are sent.
+// TestWorkerListFetchInterval checks that a worker list that changes all the time is
+// fetched from peers only once per workerListInterval, and that only changes are sent.
 func TestWorkerListFetchInterval(t *testing.T) {
 	store, synced := newSyncedFollower(t)
 	var mu sync.Mutex
 	var recordCounts []int
-	peerServer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	address := newPeerServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		recorder := httptest.NewRecorder()
 		synced.ServeHTTP(recorder, r)
 		var c StoreCopy
@@ -144,7 +288,6 @@
 		_, err := w.Write(recorder.Body.Bytes())
 		must.NoError(t, err)
 	}))
-	defer peerServer.Close()
 
 	disconnected := newDisconnectedFollower(t)
 	now := time.Now()
@@ -152,31 +295,25 @@
 	disconnected.now = func() time.Time { return now }
 	disconnected.Follower.mu.Unlock()
 	waitUntil(t, disconnected.StoreDown)
-	putAndFetch := func(value string) {
-		store.Put(workersTopic, "i-2", []byte(value))
-		synced.waitForValue(t, "i-2", value)
-		config, workers := synced.NextOffsets()
-		disconnected.FetchFromPeer(strings.TrimPrefix(peerServer.URL, "http://"), config, workers)
-		waitUntil(t, func() bool {
-			disconnected.Follower.mu.Lock()
-			defer disconnected.Follower.mu.Unlock()
-			return !disconnected.fetchingCopy
-		})
+	putAndFetch := func(workerAddress string) {
+		store.Put(workersTopic, "i-2", workerValue(workerAddress, 1))
+		synced.waitForWorkers(t, map[namer.Worker]string{"i-1": "a", "i-2": workerAddress})
+		disconnected.fetchFrom(t, synced, address)
 	}
 	putAndFetch("b")
-	disconnected.waitForValue(t, "i-1", "a")
+	disconnected.waitForWorkers(t, map[namer.Worker]string{"i-1": "a", "i-2": "b"})
 	putAndFetch("c")
 	putAndFetch("d")
 	must.Eq(t, []int{2}, recordCounts)
 	now = now.Add(workerListInterval)
 	putAndFetch("e")
-	disconnected.waitForValue(t, "i-2", "e")
+	disconnected.waitForWorkers(t, map[namer.Worker]string{"i-1": "a", "i-2": "e"})
 	must.Eq(t, []int{2, 1}, recordCounts)
 
 	// A newer configuration is fetched at once.
 	store.Put(operatorTopic, platform.ConfigKey, []byte("2"))
-	synced.waitForValue(t, platform.ConfigKey, "2")
+	synced.waitForConfig(t, "2")
 	putAndFetch("f")
-	disconnected.waitForValue(t, platform.ConfigKey, "2")
+	disconnected.waitForConfig(t, "2")
 	must.Eq(t, []int{2, 1, 1}, recordCounts)
 }
--- a/internal/edge/starter/starter.go
+++ b/internal/edge/starter/starter.go
@@ -71,9 +71,8 @@
 	wg           sync.WaitGroup
 
 	mu sync.Mutex
-	// invalidEntries holds the keys of worker list entries that have been logged as
-	// invalid.
-	invalidEntries map[string]bool
+	// invalidEntries holds the workers whose entries have been logged as invalid.
+	invalidEntries map[namer.Worker]bool
 }
 
 // Options holds the settings of an instance that don't come from the platform.
@@ -90,7 +89,7 @@
 	n := &Instance{
 		settings: s, options: o, log: log, logWriter: logWriter, done: make(chan struct{}),
 		name:           fmt.Sprintf("%s/%08x", s.Name, rand.Uint32()),
-		invalidEntries: make(map[string]bool),
+		invalidEntries: make(map[namer.Worker]bool),
 	}
 	n.runTag.Store(newRunTag())
 	n.driver = driver.New(scheduler.Settings{
@@ -98,7 +97,7 @@
 		MaxLease: s.MaxLease, ResubmitAfter: s.ResubmitAfter,
 	}, log)
 	n.gateway = gateway.New(n.driver, log)
-	n.follower = follower.New(platform.NewStoreClient(s.StoreAddress), log, n.applyRecords)
+	n.follower = follower.New(platform.NewStoreClient(s.StoreAddress), log, n, func() bool { return n.driver.Status().NeedsWorkerList })
 	if err := n.startListeners(); err != nil {
 		n.Close()
 		return nil, err
@@ -186,28 +185,8 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// applyRecords applies new records of the store. An invalid entry of the worker
-// list counts as a removed worker.
-func (n *Instance) applyRecords(t platform.Topic, records []platform.Record) {
-	if t == platform.OperatorTopic {
-		for _, r := range records {
-			n.applyConfig(r)
-		}
-		return
-	}
-	entries := make([]platform.WorkerEntry, 0, len(records))
-	for _, r := range records {
-		w, err := platform.DecodeWorkerEntry(r.Key, r.Value)
-		if err != nil {
-			n.logInvalidEntry(r, err)
-			w = platform.WorkerEntry{WorkerInfo: scheduler.WorkerInfo{ID: namer.Worker(r.Key), Removed: true}}
-		}
-		entries = append(entries, w)
-	}
-	n.driver.UpdateWorkers(entries)
-}
-
-func (n *Instance) applyConfig(r platform.Record) {
+// ApplyConfig applies a newer record of the configuration.
+func (n *Instance) ApplyConfig(r platform.Record) {
 	c, err := platform.DecodeConfig(r.Value)
 	if err != nil {
 		n.log.Warn().Int("event", int(eventer.ConfigRejected)).Uint64("offset", r.Offset).Err(err).Msg(eventer.ConfigRejected.Name())
@@ -219,21 +198,33 @@
 		Int("routes", len(c.Routes)).Msg(eventer.ConfigApplied.Name())
 }
 
-// logInvalidEntry logs a worker list entry that can't be decoded, once per key.
-func (n *Instance) logInvalidEntry(r platform.Record, err error) {
+// ApplyWorkers applies changes of the worker list.
+func (n *Instance) ApplyWorkers(changes []follower.WorkerChange) {
+	entries := make([]platform.WorkerEntry, len(changes))
+	for i, c := range changes {
+		entries[i] = c.Entry
+		if c.Err != nil {
+			n.logInvalidEntry(c)
+		}
+	}
+	n.driver.UpdateWorkers(entries)
+}
+
+// logInvalidEntry logs a worker list entry that can't be decoded, once per worker.
+func (n *Instance) logInvalidEntry(c follower.WorkerChange) {
 	n.mu.Lock()
-	logged := n.invalidEntries[r.Key]
-	n.invalidEntries[r.Key] = true
+	logged := n.invalidEntries[c.Entry.ID]
+	n.invalidEntries[c.Entry.ID] = true
 	n.mu.Unlock()
 	if !logged {
-		n.log.Warn().Int("event", int(eventer.ListEntryRejected)).Err(err).Msg(eventer.ListEntryRejected.Name())
+		n.log.Warn().Int("event", int(eventer.ListEntryRejected)).Err(c.Err).Msg(eventer.ListEntryRejected.Name())
 	}
 }
 
 // SendHeartbeat sends a heartbeat to peers, with the offsets up to which this
 // instance has the store's data.
 func (n *Instance) SendHeartbeat(to []netip.Addr, h registrar.Heartbeat) {
-	h.NextConfigOffset, h.NextWorkerOffset = n.follower.NextOffsets()
+	h.ConfigOffset, h.WorkerListOffset = n.follower.Offsets()
 	n.gossiper.SendHeartbeat(to, h)
 }
 
@@ -258,7 +249,7 @@
 		n.driver.SetRunTag(namer.RunTag(n.runTag.Load()))
 	}
 	n.driver.QueueHeartbeat(h)
-	n.follower.FetchFromPeer(netip.AddrPortFrom(h.SourceAddr, uint16(n.settings.PeerPort)).String(), h.NextConfigOffset, h.NextWorkerOffset)
+	n.follower.FetchFromPeer(netip.AddrPortFrom(h.SourceAddr, uint16(n.settings.PeerPort)).String(), h.ConfigOffset, h.WorkerListOffset)
 }
 
 // runMaintenance reports dropped log lines and reloads
