--- a/internal/core/scheduler/poll.go
+++ b/internal/core/scheduler/poll.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/heatherslip/heatherslip/internal/wire/eventer"
+	"github.com/heatherslip/heatherslip/internal/wire/namer"
 )
 
 const (
@@ -25,9 +26,10 @@
 	// pollBackoff doubles with each failed poll up to maxPollBackoff.
 	pollBackoff    = 25 * time.Millisecond
 	maxPollBackoff = 400 * time.Millisecond
-	// maxInitialPolls limits the concurrent first polls of workers: each opens a
-	// connection, and a fifth of a core opens only some in a millisecond.
-	maxInitialPolls = 48
+	// initialPollsPerCore limits the concurrent first polls of workers: each opens a
+	// connection. There are at least minInitialPolls.
+	initialPollsPerCore = 30
+	minInitialPolls     = 6
 	// foreignEndRetention is how long the end of another instance's run is kept for
 	// that instance, which may be paused.
 	foreignEndRetention = orphanTimeout
@@ -42,7 +44,7 @@
 		}
 	})
 	s.forEachPolledWorker(func(w *worker) {
-		if w.pollInFlight || s.now.Before(w.nextPollAt) || !w.runsListed && initialPolls >= maxInitialPolls {
+		if w.pollInFlight || s.now.Before(w.nextPollAt) || !w.runsListed && initialPolls >= s.maxInitialPolls() {
 			return
 		}
 		if !s.shouldPoll(w) {
@@ -59,6 +61,15 @@
 	})
 }
 
+// maxInitialPolls returns the number of first polls that may be in flight.
+func (s *Scheduler) maxInitialPolls() int {
+	cpuLimit := s.CPULimit
+	if cpuLimit <= 0 {
+		cpuLimit = defaultCPULimit
+	}
+	return max(minInitialPolls, initialPollsPerCore*int(cpuLimit)/namer.MilliCoresPerCore)
+}
+
 func (s *Scheduler) sendPoll(w *worker) {
 	w.pollInFlight = true
 	poll := Poll{Worker: w.id, AckSequence: w.ackedSequence(), Wait: longPollTime}
--- a/internal/edge/driver/driver.go
+++ b/internal/edge/driver/driver.go
@@ -53,6 +53,8 @@
 	HasReachableWorker bool
 	// NeedsWorkerList reports whether this instance has to read the worker list.
 	NeedsWorkerList bool
+	// IsIsolated reports whether this instance knows no other that owns workers.
+	IsIsolated bool
 }
 
 // PeerSender sends messages and heartbeats to peers.
@@ -316,7 +318,7 @@
 }
 
 func (d *Driver) stepInterval() time.Duration {
-	if d.sched.Idle() {
+	if d.sched.Idle() && !d.sched.IsStarting() {
 		return idleStepInterval
 	}
 	return busyStepInterval
@@ -350,7 +352,7 @@
 func (d *Driver) publishStatus() {
 	status := Status{
 		OpenJobs: d.sched.OpenJobs(), WaitingTasks: d.sched.WaitingTasks(), Idle: d.sched.Idle(), UsableWorkers: d.sched.UsableWorkers(),
-		HasReachableWorker: d.sched.HasReachableWorker(), NeedsWorkerList: d.sched.NeedsWorkerList(),
+		HasReachableWorker: d.sched.HasReachableWorker(), NeedsWorkerList: d.sched.NeedsWorkerList(), IsIsolated: d.sched.IsIsolated(),
 	}
 	pending := d.sched.PendingJobsByKind()
 	d.mu.Lock()
