--- a/internal/core/registrar/registrar.go
+++ b/internal/core/registrar/registrar.go
@@ -34,7 +34,7 @@
 	// silent: three of them have to be lost in a row. silentIntervals is the same for
 	// rare ones, as a multiple of their interval.
 	SilenceTimeout  = 400 * time.Millisecond
-	silentIntervals = 3.5
+	silentIntervals = 2.5
 	// PauseThreshold is the time between two steps above which this instance was
 	// paused. Others are not silent because it did not listen.
 	PauseThreshold = 250 * time.Millisecond
@@ -62,7 +62,7 @@
 	// candidateTimeout is the age at which a listed sign of life is outdated. Owners
 	// list those that are next to become owners once in rareInterval, and hear from
 	// them as often.
-	candidateTimeout = 4500 * time.Millisecond
+	candidateTimeout = 3500 * time.Millisecond
 	// partnerSilence is the silence of an owner after which the instances that have
 	// runs on its workers turn to all owners of its domain.
 	partnerSilence = 250 * time.Millisecond
@@ -77,11 +77,6 @@
 	// starts, the seeds may come up last, after up to 0.3 s.
 	startupDelay         = 100 * time.Millisecond
 	isolatedStartupDelay = 400 * time.Millisecond
-	// searchInterval replaces the interval of rounds while a new instance searches for
-	// the others, for searchTime after its start. It is answered once in replyInterval.
-	searchInterval = 30 * time.Millisecond
-	searchTime     = time.Second
-	replyInterval  = 90 * time.Millisecond
 	// checkInterval is how often the roster is checked for silent owners, and
 	// expiryInterval how often for members to be logged or removed.
 	checkInterval  = 50 * time.Millisecond
@@ -94,17 +89,12 @@
 	maxRelayedOwners = 12
 	// maxJoinTargets bounds the members that a joining instance turns to in one round,
 	// besides the seeds.
-	maxJoinTargets = 16
+	maxJoinTargets = 6
 )
 
 // Settings describe this instance. They do not change.
 type Settings struct {
-	Name string
-	Instance
-}
-
-// Instance is what does not change in an instance's life.
-type Instance struct {
+	Name     string
 	Addr     netip.Addr
 	Domain   namer.Domain
 	CPULimit namer.MilliCores
@@ -208,18 +198,6 @@
 	}
 }
 
-// AddInstances adds instances that were found elsewhere, which may be down.
-func (r *Registrar) AddInstances(now time.Time, instances []Instance) {
-	r.now = now
-	for _, i := range instances {
-		if i.Addr == r.Addr || r.members[i.Addr] != nil {
-			continue
-		}
-		m := r.addMember(i.Addr)
-		m.domain, m.cpuLimit, m.aliveAt = i.Domain, i.CPULimit, time.Time{}
-	}
-}
-
 // UpdateState updates the state that heartbeats report.
 func (r *Registrar) UpdateState(now time.Time, state State) {
 	r.now = now
@@ -348,7 +326,7 @@
 	m.domain, m.cpuLimit, m.runTag, m.draining, m.owner = h.Domain, h.CPULimit, h.RunTag, h.Draining, h.Owner
 	m.freeCores, m.interval = h.FreeCores, h.Interval
 	m.heardAt, m.aliveAt = now, now
-	if isNew || h.Joining && now.Sub(m.sentAt) >= replyInterval {
+	if isNew || h.Joining {
 		r.replies = append(r.replies, m)
 	}
 	if m.interval == 0 {
@@ -448,7 +426,7 @@
 			delete(r.heard, m.name)
 			r.notices = append(r.notices, Notice{Event: eventer.PeerUnreachable, Peer: m.name, Silence: r.now.Sub(m.heardAt)})
 		}
-		if r.now.Sub(later(m.aliveAt, m.listedAt)) <= memberExpiry {
+		if r.now.Sub(m.aliveAt) <= memberExpiry {
 			return false
 		}
 		delete(r.members, m.addr)
--- a/internal/core/registrar/registrar_test.go
+++ b/internal/core/registrar/registrar_test.go
@@ -228,7 +228,7 @@
 // TestReplacedIncarnation checks that an incarnation counts as ended once another one
 // runs at its address, and that its late heartbeats change nothing.
 func TestReplacedIncarnation(t *testing.T) {
-	r := New(Settings{"this", Instance{testAddr(1), "d", 400}}, nil, simEpoch)
+	r := New(Settings{Name: "this", Addr: testAddr(1), Domain: "d", CPULimit: 400}, nil, simEpoch)
 	heartbeat := func(name string, tag namer.RunTag) *Heartbeat {
 		return &Heartbeat{Name: name, SourceAddr: testAddr(2), Domain: "d", RunTag: tag, Interval: time.Second, Owner: true}
 	}
@@ -274,7 +274,7 @@
 	}
 	for name, h := range cases {
 		t.Run(name, func(t *testing.T) {
-			r := New(Settings{"this", Instance{testAddr(1), "d", 400}}, nil, simEpoch)
+			r := New(Settings{Name: "this", Addr: testAddr(1), Domain: "d", CPULimit: 400}, nil, simEpoch)
 			r.HandleHeartbeat(simEpoch, heard)
 			r.HandleHeartbeat(simEpoch.Add(time.Millisecond), h)
 			r.Step(simEpoch.Add(60 * time.Millisecond))
--- a/internal/core/registrar/round.go
+++ b/internal/core/registrar/round.go
@@ -15,9 +15,6 @@
 	frequent := r.frequentTargets()
 	interval := min(max(minHeartbeatInterval, time.Duration(len(frequent))*heartbeatIntervalPerTarget), maxHeartbeatInterval)
 	r.nextRound = r.now.Add(interval)
-	if r.IsJoining() && r.now.Sub(r.startedAt) < searchTime {
-		r.nextRound = r.now.Add(searchInterval)
-	}
 	var local, partners, contacts []*member
 	for _, m := range frequent {
 		switch {
@@ -225,11 +222,12 @@
 	} else if len(addrs) > 0 {
 		addrs = addrs[r.round%len(addrs):][:1]
 	}
-	for _, m := range r.probeOrder() {
+	for n := range r.sorted {
+		m := r.sorted[(r.round*maxJoinTargets+n)%len(r.sorted)]
 		if len(addrs) >= limit {
 			break
 		}
-		if !slices.Contains(addrs, m.addr) {
+		if !r.isLive(m) && !slices.Contains(addrs, m.addr) {
 			addrs = append(addrs, m.addr)
 		}
 	}
@@ -239,33 +237,6 @@
 	return []Transmission{{To: addrs, Heartbeat: h}}
 }
 
-// probeOrder returns the members that are not known to be alive, in the order in which
-// they are probed: those of this domain that would own its workers, then all others in
-// turn.
-func (r *Registrar) probeOrder() []*member {
-	var local, all []*member
-	for n := range r.sorted {
-		m := r.sorted[(r.round*maxJoinTargets+n)%len(r.sorted)]
-		if r.isLive(m) {
-			continue
-		}
-		all = append(all, m)
-		if m.domain == r.Domain {
-			local = append(local, m)
-		}
-	}
-	if !r.IsJoining() {
-		return all
-	}
-	slices.SortFunc(local, func(a, b *member) int {
-		if a.outranks(b) {
-			return -1
-		}
-		return 1
-	})
-	return append(local[:min(len(local), maxJoinTargets/2)], all...)
-}
-
 // sendReplies returns heartbeats with lists for the members that have just been heard
 // for the first time or that are joining.
 func (r *Registrar) sendReplies() []Transmission {
--- a/internal/core/registrar/site_test.go
+++ b/internal/core/registrar/site_test.go
@@ -110,7 +110,7 @@
 	for n := range simSeeds {
 		seeds = append(seeds, i.site.instances[(n%i.site.size.domains)*perDomain+n/i.site.size.domains].addr)
 	}
-	i.reg = New(Settings{i.name(), Instance{i.addr, i.domain, i.cpuLimit}}, seeds, simEpoch.Add(i.site.now))
+	i.reg = New(Settings{Name: i.name(), Addr: i.addr, Domain: i.domain, CPULimit: i.cpuLimit}, seeds, simEpoch.Add(i.site.now))
 	incarnation := i.incarnation
 	var step func()
 	step = func() {
--- a/internal/core/scheduler/event.go
+++ b/internal/core/scheduler/event.go
@@ -157,9 +157,6 @@
 // SeedsAdded carries further addresses of instances, which may be down.
 type SeedsAdded struct{ Seeds []netip.Addr }
 
-// InstancesFound carries instances that were found in the store, which may be down.
-type InstancesFound struct{ Instances []registrar.Instance }
-
 // DrainStarted says that the instance shuts down once its jobs have ended. Its
 // workers get other owners.
 type DrainStarted struct{}
@@ -172,6 +169,5 @@
 func (PollResult) event()        {}
 func (HeartbeatReceived) event() {}
 func (SeedsAdded) event()        {}
-func (InstancesFound) event()    {}
 func (DrainStarted) event()      {}
 func (MessageReceived) event()   {}
--- a/internal/core/scheduler/ownership_test.go
+++ b/internal/core/scheduler/ownership_test.go
@@ -119,7 +119,7 @@
 				initialPolls++
 			}
 		}
-		must.LessEq(t, w.instances[0].core.maxInitialPolls(), initialPolls)
+		must.LessEq(t, maxInitialPolls, initialPolls)
 	}
 	must.Eq(t, 350, w.instances[0].core.UsableWorkers())
 }
--- a/internal/core/scheduler/poll.go
+++ b/internal/core/scheduler/poll.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/heatherslip/heatherslip/internal/wire/eventer"
-	"github.com/heatherslip/heatherslip/internal/wire/namer"
 )
 
 const (
@@ -26,10 +25,9 @@
 	// pollBackoff doubles with each failed poll up to maxPollBackoff.
 	pollBackoff    = 25 * time.Millisecond
 	maxPollBackoff = 400 * time.Millisecond
-	// initialPollsPerCore limits the concurrent first polls of workers: each opens a
-	// connection. There are at least minInitialPolls.
-	initialPollsPerCore = 30
-	minInitialPolls     = 6
+	// maxInitialPolls limits the concurrent first polls of workers: each opens a
+	// connection, and a fifth of a core opens only some in a millisecond.
+	maxInitialPolls = 48
 	// foreignEndRetention is how long the end of another instance's run is kept for
 	// that instance, which may be paused.
 	foreignEndRetention = orphanTimeout
@@ -44,7 +42,7 @@
 		}
 	})
 	s.forEachPolledWorker(func(w *worker) {
-		if w.pollInFlight || s.now.Before(w.nextPollAt) || !w.runsListed && initialPolls >= s.maxInitialPolls() {
+		if w.pollInFlight || s.now.Before(w.nextPollAt) || !w.runsListed && initialPolls >= maxInitialPolls {
 			return
 		}
 		if !s.shouldPoll(w) {
@@ -61,15 +59,6 @@
 	})
 }
 
-// maxInitialPolls returns the number of first polls that may be in flight.
-func (s *Scheduler) maxInitialPolls() int {
-	cpuLimit := s.CPULimit
-	if cpuLimit <= 0 {
-		cpuLimit = defaultCPULimit
-	}
-	return max(minInitialPolls, initialPollsPerCore*int(cpuLimit)/namer.MilliCoresPerCore)
-}
-
 func (s *Scheduler) sendPoll(w *worker) {
 	w.pollInFlight = true
 	poll := Poll{Worker: w.id, AckSequence: w.ackedSequence(), Wait: longPollTime}
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -147,7 +147,7 @@
 func New(s Settings, now time.Time, wall namer.UnixMillis) *Scheduler {
 	return &Scheduler{
 		Settings:      s,
-		registrar:     registrar.New(registrar.Settings{Name: s.Name, Instance: registrar.Instance{Addr: s.Addr, Domain: s.Domain, CPULimit: s.CPULimit}}, s.Seeds, now),
+		registrar:     registrar.New(registrar.Settings{Name: s.Name, Addr: s.Addr, Domain: s.Domain, CPULimit: s.CPULimit}, s.Seeds, now),
 		nameHash:      hasher.String(s.Name),
 		now:           now,
 		startedAt:     now,
@@ -248,8 +248,6 @@
 		s.handleHeartbeat(&e.Heartbeat)
 	case SeedsAdded:
 		s.registrar.AddSeeds(e.Seeds)
-	case InstancesFound:
-		s.registrar.AddInstances(s.now, e.Instances)
 	case DrainStarted:
 		s.draining, s.stateUpdatedAt = true, time.Time{}
 	case MessageReceived:
@@ -293,15 +291,6 @@
 // SetRunTag sets the run tag for runs that are started from now on.
 func (s *Scheduler) SetRunTag(tag namer.RunTag) { s.RunTag = tag }
 
-// IsIsolated reports whether this instance knows no other that owns workers.
-func (s *Scheduler) IsIsolated() bool { return len(s.owners) == 0 }
-
-// IsStarting reports whether this instance has been started a moment ago and does not
-// know its place among the others yet.
-func (s *Scheduler) IsStarting() bool {
-	return s.now.Sub(s.startedAt) < joinTime && (s.registrar.IsJoining() || s.UsableWorkers() == 0)
-}
-
 // NeedsWorkerList reports whether this instance has to read the worker list itself: it
 // owns workers, or it knows no owner that could supply the list.
 func (s *Scheduler) NeedsWorkerList() bool {
--- a/internal/edge/driver/driver.go
+++ b/internal/edge/driver/driver.go
@@ -53,8 +53,6 @@
 	HasReachableWorker bool
 	// NeedsWorkerList reports whether this instance has to read the worker list.
 	NeedsWorkerList bool
-	// IsIsolated reports whether this instance knows no other that owns workers.
-	IsIsolated bool
 }
 
 // PeerSender sends messages and heartbeats to peers.
@@ -318,7 +316,7 @@
 }
 
 func (d *Driver) stepInterval() time.Duration {
-	if d.sched.Idle() && !d.sched.IsStarting() {
+	if d.sched.Idle() {
 		return idleStepInterval
 	}
 	return busyStepInterval
@@ -352,7 +350,7 @@
 func (d *Driver) publishStatus() {
 	status := Status{
 		OpenJobs: d.sched.OpenJobs(), WaitingTasks: d.sched.WaitingTasks(), Idle: d.sched.Idle(), UsableWorkers: d.sched.UsableWorkers(),
-		HasReachableWorker: d.sched.HasReachableWorker(), NeedsWorkerList: d.sched.NeedsWorkerList(), IsIsolated: d.sched.IsIsolated(),
+		HasReachableWorker: d.sched.HasReachableWorker(), NeedsWorkerList: d.sched.NeedsWorkerList(),
 	}
 	pending := d.sched.PendingJobsByKind()
 	d.mu.Lock()
--- a/internal/edge/follower/follower.go
+++ b/internal/edge/follower/follower.go
@@ -28,7 +28,7 @@
 	workerListInterval = 500 * time.Millisecond
 	// roleCheckInterval is how often an instance that doesn't read the worker list
 	// checks whether it has to.
-	roleCheckInterval = 10 * time.Millisecond
+	roleCheckInterval = 50 * time.Millisecond
 	// initialRetryDelay and maxRetryDelay bound the backoff while the store is down.
 	initialRetryDelay = 100 * time.Millisecond
 	maxRetryDelay     = time.Second
--- a/internal/edge/starter/starter.go
+++ b/internal/edge/starter/starter.go
@@ -20,7 +20,6 @@
 
 	"github.com/heatherslip/heatherslip/internal/core/registrar"
 	"github.com/heatherslip/heatherslip/internal/core/scheduler"
-	"github.com/heatherslip/heatherslip/internal/edge/discoverer"
 	"github.com/heatherslip/heatherslip/internal/edge/driver"
 	"github.com/heatherslip/heatherslip/internal/edge/follower"
 	"github.com/heatherslip/heatherslip/internal/edge/gateway"
@@ -36,10 +35,6 @@
 	// idleTimeout how long an idle connection stays open.
 	readHeaderTimeout = 3 * time.Second
 	idleTimeout       = 15 * time.Second
-	// startupTimeout is how long clients may have to wait for a new instance, which
-	// looks every readyCheckInterval whether it is ready.
-	startupTimeout     = 400 * time.Millisecond
-	readyCheckInterval = 5 * time.Millisecond
 	// maintenanceInterval is the interval at which the settings file is checked for
 	// changes and dropped log lines are reported.
 	maintenanceInterval = time.Second
@@ -66,10 +61,6 @@
 	gateway   *gateway.Gateway
 	follower  *follower.Follower
 	gossiper  *gossiper.Gossiper
-	// discoverer finds other instances. It uses the store's client of its own, since the
-	// follower closes its.
-	discoverer *discoverer.Discoverer
-	store      *platform.StoreClient
 	// name is the instance's name with a random suffix chosen at each start.
 	name         string
 	runTag       atomic.Uint32
@@ -133,16 +124,11 @@
 		return err
 	}
 	n.driver.SetPeerSender(n)
-	n.store = platform.NewStoreClient(s.StoreAddress)
-	self := registrar.Instance{Addr: s.IP, Domain: s.Domain, CPULimit: s.CPULimit}
-	n.discoverer = discoverer.New(n.store, n.log, s.Name, self, func() bool { return n.driver.Status().IsIsolated }, func(found []registrar.Instance) {
-		n.driver.PushEvent(scheduler.InstancesFound{Instances: found})
-	})
 	clientListener, err := net.Listen("tcp", s.FrontAddress)
 	if err != nil {
 		return fmt.Errorf("listen for clients: %w", err)
 	}
-	n.serveClientsOnceReady(clientListener)
+	n.clientServer = n.serveListener(clientListener, n.gateway)
 	probeMux := http.NewServeMux()
 	probeMux.HandleFunc(platform.ReadyPath, n.serveReadiness)
 	if err := n.listenAndServe(s.ReadyAddress, probeMux); err != nil {
@@ -175,59 +161,24 @@
 }
 
 // serveListener starts a server that Close closes.
-func (n *Instance) serveListener(ln net.Listener, h http.Handler) {
-	srv := n.addServer(h)
-	n.wg.Add(1)
-	go func() {
-		defer n.wg.Done()
-		n.serve(srv, ln)
-	}()
-}
-
-func (n *Instance) addServer(h http.Handler) *http.Server {
+func (n *Instance) serveListener(ln net.Listener, h http.Handler) *http.Server {
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: nil}
 	n.servers = append(n.servers, srv)
-	return srv
-}
-
-func (n *Instance) serve(srv *http.Server, ln net.Listener) {
-	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-		n.log.Error().Err(err).Str("address", ln.Addr().String()).Msg("listener failed")
-	}
-}
-
-// serveClientsOnceReady starts the server for clients when the instance is ready, or
-// after startupTimeout. Until then, connections wait in the listener's queue: a new
-// instance needs some tenths of a second to find its peers and workers, and what it
-// refused meanwhile could have been served.
-func (n *Instance) serveClientsOnceReady(ln net.Listener) {
-	n.clientServer = n.addServer(n.gateway)
 	n.wg.Add(1)
 	go func() {
 		defer n.wg.Done()
-		deadline := time.Now().Add(startupTimeout)
-		for !n.isReady() && time.Now().Before(deadline) {
-			select {
-			case <-n.done:
-				_ = ln.Close()
-				return
-			case <-time.After(readyCheckInterval):
-			}
+		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			n.log.Error().Err(err).Str("address", ln.Addr().String()).Msg("listener failed")
 		}
-		n.serve(n.clientServer, ln)
 	}()
+	return srv
 }
 
-// isReady reports whether the instance has a configuration, isn't draining and can
-// reach a worker.
-func (n *Instance) isReady() bool {
-	_, configured := n.gateway.ConfigVersion()
-	return configured && !n.draining.Load() && n.driver.Status().HasReachableWorker
-}
-
-// serveReadiness answers the probes of the load balancer.
+// serveReadiness answers the probes of the load balancer. An instance is ready if
+// it has a configuration, isn't draining and can reach a worker.
 func (n *Instance) serveReadiness(w http.ResponseWriter, _ *http.Request) {
-	if !n.isReady() {
+	_, configured := n.gateway.ConfigVersion()
+	if !configured || n.draining.Load() || !n.driver.Status().HasReachableWorker {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -369,10 +320,6 @@
 	if n.gossiper != nil {
 		n.gossiper.Close()
 	}
-	if n.discoverer != nil {
-		n.discoverer.Close()
-		n.store.Close()
-	}
 	n.follower.Close()
 	n.driver.Close()
 	n.wg.Wait()
