scheduler: log crashed workers and the runs that were there

What could not be seen: a worker whose process is gone was logged as silent, like one behind a partition, and no line named the runs that it took along. So the hypotheses on tasks that crash their workers could not be told apart.

Change: a poll whose connection is refused says so. The first such poll logs "worker crashed" with the number of runs, and "run lost" for each of them. Both are counted in the metrics as decisions. Nothing is decided by it yet.

--- a/internal/core/scheduler/event.go
+++ b/internal/core/scheduler/event.go
@@ -132,15 +132,18 @@
 	// OutOfBand is copied from the Poll.
 	OutOfBand bool
 	// NoResponse is set if there was no usable response. Of the fields below, only
-	// WrongIncarnation is valid then.
+	// WrongIncarnation and Refused are valid then.
 	NoResponse bool
 	// WrongIncarnation is set, together with NoResponse, if another incarnation of
 	// the worker responded.
 	WrongIncarnation bool
-	BootTime         namer.UnixMillis
-	Clock            namer.WorkerClockMillis
-	Active           []ActiveRun
-	Ended            []EndedRun
+	// Refused is set, together with NoResponse, if the worker's address refused the
+	// connection.
+	Refused  bool
+	BootTime namer.UnixMillis
+	Clock    namer.WorkerClockMillis
+	Active   []ActiveRun
+	Ended    []EndedRun
 }
 
 // HeartbeatReceived is a heartbeat of a peer.
--- a/internal/core/scheduler/poll.go
+++ b/internal/core/scheduler/poll.go
@@ -115,7 +115,7 @@
 		s.placementDue = true
 		s.emit(Decision{Event: eventer.WorkerReachable, Worker: w.id, Age: s.sinceLastSeen(w)})
 	}
-	w.lastSeen, w.suspected, w.failedPolls, w.runsListed = s.now, false, 0, true
+	w.lastSeen, w.suspected, w.crashed, w.failedPolls, w.runsListed = s.now, false, false, 0, true
 	w.setClock(s.now, e.Clock)
 	hasNewEnd := s.handleEndedRuns(w, e)
 	s.handleActiveRuns(w, e, isTracked)
@@ -139,6 +139,9 @@
 		s.emit(Decision{Event: eventer.WorkerUnreachable, Worker: w.id, Age: s.sinceLastSeen(w)})
 	}
 	w.suspected = true
+	if e.Refused {
+		s.handleCrash(w)
+	}
 	s.stopInDoubtRuns(w, e)
 	if e.OutOfBand {
 		return
--- a/internal/core/scheduler/worker.go
+++ b/internal/core/scheduler/worker.go
@@ -55,7 +55,9 @@
 	breakerOpenUntil time.Time
 	// suspected is set by a request without a response, until the next poll
 	// result.
-	suspected           bool
+	suspected bool
+	// crashed is set while the worker's address refuses connections.
+	crashed             bool
 	consecutiveFailures int
 	// breakerTrips counts how often the breaker has opened since the last
 	// success. While it is positive, the worker gets one run at a time.
--- a/internal/wire/eventer/events.go
+++ b/internal/wire/eventer/events.go
@@ -69,12 +69,14 @@
 	RunMissing          Event = 514
 	RunOrphaned         Event = 515
 	CapacityReserved    Event = 516
+	RunLost             Event = 517
 	WorkerListed        Event = 520
 	WorkerDraining      Event = 521
 	WorkerRemoved       Event = 522
 	WorkerRestarted     Event = 523
 	WorkerReachable     Event = 524
 	WorkerUnreachable   Event = 525
+	WorkerCrashed       Event = 526
 	ConfigApplied       Event = 530
 	ConfigRejected      Event = 531
 	ListEntryRejected   Event = 532
@@ -166,12 +168,14 @@
 		{RunMissing, "task vanished", "A worker reports neither a run nor its end; the task is started again."},
 		{RunOrphaned, "run abandoned", "A run was stopped because its instance is silent, or because its job was sent again to this instance."},
 		{CapacityReserved, "capacity reserved", "The owner of a worker has reserved capacity for a task of another instance; the line has what is left after it."},
+		{RunLost, "run lost", "A run was on a worker that has crashed."},
 		{WorkerListed, "worker listed", "The platform lists a new worker."},
 		{WorkerDraining, "worker draining", "A worker is draining; it gets no new starts."},
 		{WorkerRemoved, "worker gone", "The platform no longer lists a worker."},
 		{WorkerRestarted, "worker reborn", "A worker has restarted; all its earlier runs have ended."},
 		{WorkerReachable, "worker heard", "A worker responds again; age_ms is how long it was silent."},
 		{WorkerUnreachable, "worker silent", "A worker does not respond; it gets no starts until it does."},
+		{WorkerCrashed, "worker crashed", "A worker's address refuses connections: its process has ended, or a network device rejects the packets. The line has the number of runs there."},
 		{ConfigApplied, "configuration applied", "A newer configuration was read; the line has whether it was applied."},
 		{ConfigRejected, "configuration rejected", "A configuration is invalid; the previous one stays in force."},
 		{ListEntryRejected, "entry rejected", "An entry of the platform's list cannot be decoded and is ignored."},
