scheduler: a test of tasks that crash their workers, which fails

What callers see: a job with a task that crashes each worker that starts it is given up with 504 and sent again, and its next submission, at any instance, crashes another worker. In five cases (sent again, started again by the same job, and with the loss or the drain of an instance at the first three crashes) the task is started 10 to 12 times, as often as its client submits it. Three starts after the third crash are too many.

Workers in the simulation refuse connections after such a crash, as a machine does that is up.

--- a/internal/core/scheduler/simulation_test.go
+++ b/internal/core/scheduler/simulation_test.go
@@ -43,6 +43,8 @@
 	heartbeats int
 	messages   int
 	onMessage  func(SendMessage)
+	// onCrash is called when a task has crashed a worker.
+	onCrash func(*simJob)
 }
 
 // Time constants of the simulated platform.
@@ -55,6 +57,8 @@
 	// simTrafficShiftTime the time until clients use other instances.
 	simShutdownTimeout  = 6 * time.Second
 	simTrafficShiftTime = 2500 * time.Millisecond
+	// simRestartTime is how long a worker takes to be back after a crash.
+	simRestartTime = 3300 * time.Millisecond
 )
 
 // simEpoch is the start of virtual time. It is late enough that all times are
@@ -149,9 +153,9 @@
 	bootedAt time.Duration
 	// clockRate is the speed of its clock; 1 is accurate.
 	clockRate float64
-	// A worker that is down neither responds nor runs anything; an unreachable
-	// one doesn't respond but keeps running.
-	down, unreachable bool
+	// A worker that is down neither responds nor runs anything, or refuses connections
+	// if its machine is up; an unreachable one doesn't respond but keeps running.
+	down, refusing, unreachable bool
 	// slowdown multiplies run times, failsRuns makes all runs fail, and
 	// stallsRuns prevents progress and completion.
 	slowdown      float64
@@ -198,8 +202,21 @@
 	s.incarnation++
 }
 
+// crashUnder crashes the worker when it starts a task. Its machine stays up, and it
+// is back after simRestartTime.
+func (s *simWorker) crashUnder(t namer.TaskName) {
+	j := s.w.jobsByName[t.Job]
+	j.crashes = append(j.crashes, s.w.now)
+	s.crash()
+	s.refusing = true
+	s.w.after(simRestartTime, s.reboot)
+	if s.w.onCrash != nil {
+		s.w.onCrash(j)
+	}
+}
+
 func (s *simWorker) reboot() {
-	s.down = false
+	s.down, s.refusing = false, false
 	s.boot()
 }
 
@@ -285,6 +302,10 @@
 	s.runs[key] = r
 	s.w.starts++
 	s.w.checkStart(s, r)
+	if s.w.crashesWorkers(key.task) {
+		s.crashUnder(key.task)
+		return StartNoResponse
+	}
 	incarnation := s.incarnation
 	if s.failsRuns {
 		s.w.after(5*time.Millisecond, func() { s.endRunIfAlive(incarnation, r, EndFailed) })
@@ -524,8 +545,9 @@
 func (w *simWorld) worker(id namer.Worker) *simWorker { return w.workersByID[id] }
 
 // callWorker delivers a request to a worker and its response to the instance. If
-// there is none within the timeout, the instance gets the event noResponse.
-func (i *simInstance) callWorker(id namer.Worker, timeout time.Duration, noResponse Event, handle func(s *simWorker, respond func(Event))) {
+// there is none within the timeout, the instance gets the event noResponse, and the
+// event refused if the worker refuses the connection.
+func (i *simInstance) callWorker(id namer.Worker, timeout time.Duration, noResponse, refused Event, handle func(s *simWorker, respond func(Event))) {
 	s := i.w.worker(id)
 	incarnation := i.incarnation
 	done := false
@@ -542,24 +564,29 @@
 		delay += 2*time.Second + time.Duration(i.w.faultRand.Int64N(int64(6*time.Second)))
 	}
 	i.w.after(delay, func() {
-		if s.down || s.unreachable || i.w.isPartitioned(i.domain, s.domain) {
+		if s.down && !s.refusing || s.unreachable || i.w.isPartitioned(i.domain, s.domain) {
 			return
 		}
-		handle(s, func(e Event) {
+		respond := func(e Event) {
 			i.w.after(i.w.delayBetween(i.domain, s.domain), func() {
 				if !done && !delayed && !dropResponse && !s.unreachable && !i.w.isPartitioned(i.domain, s.domain) {
 					done = true
 					i.deliver(incarnation, e)
 				}
 			})
-		})
+		}
+		if s.down {
+			respond(refused)
+			return
+		}
+		handle(s, respond)
 	})
 }
 
 func (i *simInstance) performStart(a Start) {
 	e := StartResult{Worker: a.Worker, Task: a.Task, Run: a.Run, Status: StartNoResponse, Latency: a.Timeout}
 	sentAt := i.w.now
-	i.callWorker(a.Worker, a.Timeout, e, func(s *simWorker, respond func(Event)) {
+	i.callWorker(a.Worker, a.Timeout, e, e, func(s *simWorker, respond func(Event)) {
 		j := i.w.jobsByName[a.Task.Job]
 		e.Status = s.start(runKey{a.Task, a.Run}, a.LeaseUntil, j.taskCores[a.Task.Index], j.taskRunTimes[a.Task.Index])
 		e.Clock = s.clock()
@@ -570,7 +597,7 @@
 
 func (i *simInstance) performStop(a Stop) {
 	e := StopResult{Worker: a.Worker, Task: a.Task, Run: a.Run}
-	i.callWorker(a.Worker, 80*time.Millisecond, e, func(s *simWorker, respond func(Event)) {
+	i.callWorker(a.Worker, 80*time.Millisecond, e, e, func(s *simWorker, respond func(Event)) {
 		s.stop(runKey{a.Task, a.Run})
 		e.Acknowledged = true
 		respond(e)
@@ -579,7 +606,9 @@
 
 func (i *simInstance) performPoll(a Poll) {
 	e := PollResult{Worker: a.Worker, OutOfBand: a.OutOfBand, NoResponse: true, SentAt: simEpoch.Add(i.w.now)}
-	i.callWorker(a.Worker, a.Wait+60*time.Millisecond, e, func(s *simWorker, respond func(Event)) {
+	refused := e
+	refused.Refused = true
+	i.callWorker(a.Worker, a.Wait+60*time.Millisecond, e, refused, func(s *simWorker, respond func(Event)) {
 		s.acknowledge(a.AckSequence)
 		if a.LeaseUntil > 0 {
 			s.renewLease(a.LeaseUntil)
@@ -618,8 +647,17 @@
 	running   map[int]int
 	doneTasks map[int]bool
 	hasRun    bool
-	// refusals counts the refusals received, submissions the submissions sent.
-	refusals, submissions int
+	// refusals counts the refusals received, submissions the submissions sent; there
+	// are at most maxSubmissions.
+	refusals, submissions, maxSubmissions int
+	// instance got the last submission.
+	instance *simInstance
+	// resubmitsRefused is set if the client submits the job again after a refusal too.
+	resubmitsRefused bool
+	// crashingTask is the index of the task that crashes each worker that starts it,
+	// -1 if there is none. crashes has the times of these crashes.
+	crashingTask int
+	crashes      []time.Duration
 	// outcome and answeredAt describe the last result that the client received.
 	outcome    Outcome
 	answeredAt time.Duration
@@ -723,14 +761,15 @@
 	j.spec.ObjectiveFactor, j.spec.ObjectiveBase, j.spec.CallerTimeout = 1.6, 60*time.Millisecond, callerTimeout
 	j.submittedAt, j.outcome = w.now, connectionLost
 	j.running, j.doneTasks = make(map[int]int), make(map[int]bool)
+	j.maxSubmissions, j.crashingTask = defaultMaxSubmissions, -1
 	w.jobsByName[name] = j
 	w.jobs = append(w.jobs, j)
 	w.sendJob(j, instance)
 	return j
 }
 
-// maxSubmissions limits how often a client submits a job.
-const maxSubmissions = 3
+// defaultMaxSubmissions limits how often a client submits a job.
+const defaultMaxSubmissions = 3
 
 func (w *simWorld) sendJob(j *simJob, instance *simInstance) {
 	j.submissions++
@@ -741,6 +780,7 @@
 		w.resubmit(j)
 		return
 	}
+	j.instance = instance
 	instance.lastCall++
 	call := instance.lastCall
 	incarnation := instance.incarnation
@@ -779,6 +819,9 @@
 		if j.hasRun && j.refusals == j.submissions {
 			w.recordViolation("job %s was refused although it has run", j.spec.Name)
 		}
+		if j.resubmitsRefused {
+			w.resubmit(j)
+		}
 	case Completed:
 		j.outcome, j.answeredAt = result.Outcome, w.now
 		if len(j.doneTasks) != len(j.taskCores) {
@@ -790,7 +833,7 @@
 }
 
 func (w *simWorld) resubmit(j *simJob) {
-	if j.submissions >= maxSubmissions {
+	if j.submissions >= j.maxSubmissions {
 		return
 	}
 	w.after(simResubmitDelay, func() { w.sendJob(j, w.instances[w.faultRand.IntN(len(w.instances))]) })
@@ -807,6 +850,11 @@
 	}
 }
 
+// crashesWorkers reports whether a task crashes each worker that starts it.
+func (w *simWorld) crashesWorkers(t namer.TaskName) bool {
+	return w.jobsByName[t.Job].crashingTask == t.Index
+}
+
 // activeRuns counts the runs of a task on workers that are up.
 func (w *simWorld) activeRuns(t namer.TaskName) int {
 	n := 0
