scheduler: owners count crashes by task and give the task up after two

What callers saw: a job with a task that crashes its worker was given up with 504, and each further submission, at any instance, crashed another worker, together with the other jobs there.

Cause: an attempt counted only if a worker listed its end as failed. A run that takes its worker along has no such end, and what was counted was kept in the open job, so it was gone with the 504 or with the instance. Class of fault: a failure without a reporter is counted nowhere, and the count has one keeper.

Change: the owner of a worker whose address refuses connections, or that comes back in another incarnation, counts a crash for each task with a run there, by run number. It tells the other owners three times, a new owner everything, and the instance of the run. All starts pass through owners, so they decide: after one crash a task gets a worker for itself, so that the next crash hits nobody else and is its own; after two its job fails, wherever it comes back. A worker that responds again in the same incarnation was cut off: the crash is withdrawn. A draining worker may have left.

Ruled out: counting ends again or lowering MaxAttempts (there is no end to count); counting at the instance with the job only (its loss, or a submission elsewhere, resets it); a record in the store before each start (a synced append for each start).

--- /dev/null
+++ b/internal/core/crashcounter/table_test.go
@@ -0,0 +1,49 @@
+package crashcounter
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/heatherslip/heatherslip/internal/wire/namer"
+)
+
+func TestCount(t *testing.T) {
+	task, other := namer.TaskName{Job: "a"}, namer.TaskName{Job: "a", Index: 1}
+	start := time.Unix(1000, 0)
+	cases := map[string]struct {
+		change func(*Table)
+		want   int
+	}{
+		"no crash":                {func(*Table) {}, 0},
+		"two runs":                {func(c *Table) { c.Add(start, Run{task, 1}); c.Add(start, Run{task, 2}) }, 2},
+		"the same run twice":      {func(c *Table) { c.Add(start, Run{task, 1}); c.Add(start, Run{task, 1}) }, 1},
+		"another task":            {func(c *Table) { c.Add(start, Run{other, 1}) }, 0},
+		"a run that was not lost": {func(c *Table) { c.Add(start, Run{task, 1}); c.Remove(Run{task, 1}) }, 0},
+		"a run that is unknown":   {func(c *Table) { c.Add(start, Run{task, 1}); c.Remove(Run{task, 2}) }, 1},
+		"a crash long ago": {func(c *Table) {
+			c.Add(start, Run{task, 1})
+			c.Add(start.Add(retention+time.Second), Run{task, 2})
+		}, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			table := New()
+			c.change(table)
+			must.Eq(t, c.want, table.Count(task))
+		})
+	}
+}
+
+func TestTableIsBounded(t *testing.T) {
+	table := New()
+	for n := range 2 * maxRuns {
+		must.True(t, table.Add(time.Unix(0, 0), Run{namer.TaskName{Job: "a", Index: n}, 1}))
+	}
+	must.Len(t, maxRuns, table.Runs())
+	must.Len(t, maxRuns, table.recordedAt)
+	must.MapLen(t, maxRuns, table.counts)
+	must.Eq(t, 0, table.Count(namer.TaskName{Job: "a"}))
+	must.Eq(t, 1, table.Count(namer.TaskName{Job: "a", Index: 2*maxRuns - 1}))
+}
--- a/internal/core/scheduler/action.go
+++ b/internal/core/scheduler/action.go
@@ -116,6 +116,9 @@
 	// that were sent a reserve request for one task. All are set in JobRefused
 	// events.
 	Owners, UsableWorkers, RequestedOwners int
+	// Crashes is the number of workers that have crashed under a task, in RunLost
+	// events.
+	Crashes int
 	// ResponseTime is the time since the job arrived.
 	ResponseTime time.Duration
 	// Objective is the response time objective of the job.
--- a/internal/core/scheduler/admission.go
+++ b/internal/core/scheduler/admission.go
@@ -58,6 +58,9 @@
 		s.refuseJob(j, Refused, reason)
 		return
 	}
+	if s.failIfGivenUp(j) {
+		return
+	}
 	if j.ShutdownIn > 0 && j.objectiveAt.After(j.deadline) {
 		s.refuseJob(j, Unavailable, "this instance ends before the job could")
 		return
--- a/internal/core/scheduler/crash_test.go
+++ b/internal/core/scheduler/crash_test.go
@@ -8,6 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/heatherslip/heatherslip/internal/wire/eventer"
+	"github.com/heatherslip/heatherslip/internal/wire/namer"
 )
 
 // decisionsOf returns the decisions with the given event.
@@ -130,3 +131,134 @@
 	}
 	must.SliceEmpty(t, w.violations)
 }
+
+// crashReports returns a message of a peer that reports lost runs of task 0 of job "a".
+func crashReports(runs ...namer.RunID) MessageReceived {
+	var m PeerMessage
+	for _, run := range runs {
+		m.Crashes = append(m.Crashes, CrashReport{RunRef: RunRef{"other", namer.TaskName{Job: "a"}, run}})
+	}
+	return MessageReceived{From: "e0", SourceAddr: peerAddr(0), Message: m}
+}
+
+// reservationOutcomes returns, by task index, whether the actions reserve a worker for
+// it, and givenUp whether they say that it is given up.
+func reservationOutcomes(actions []Action) (reserved, givenUp map[int]bool) {
+	reserved, givenUp = make(map[int]bool), make(map[int]bool)
+	for _, a := range actions {
+		m, isMessage := a.(SendMessage)
+		if !isMessage {
+			continue
+		}
+		for _, r := range m.Message.ReserveResponses {
+			reserved[r.Task.Index] = r.Worker != ""
+			givenUp[r.Task.Index] = r.GivenUp
+		}
+	}
+	return reserved, givenUp
+}
+
+// TestReservationsAfterCrashes checks which tasks an owner grants its worker to, after
+// crashes under task 0 of a job.
+func TestReservationsAfterCrashes(t *testing.T) {
+	const size = 6000
+	cases := map[string]struct {
+		events            []Event
+		reserved, givenUp map[int]bool
+	}{
+		"no crash": {
+			[]Event{reserveRequest(0, 100, size), reserveRequest(1, 101, size)},
+			map[int]bool{0: true, 1: true},
+			map[int]bool{0: false, 1: false},
+		},
+		"the task shares no worker after a crash": {
+			[]Event{crashReports(90), reserveRequest(0, 100, size), reserveRequest(1, 101, size)},
+			map[int]bool{0: true, 1: false},
+			map[int]bool{0: false, 1: false},
+		},
+		"a repeated report counts once": {
+			[]Event{crashReports(90, 90), crashReports(90), reserveRequest(0, 100, size)},
+			map[int]bool{0: true},
+			map[int]bool{0: false},
+		},
+		"the task is given up after two crashes": {
+			[]Event{crashReports(90, 91), reserveRequest(0, 100, size), reserveRequest(1, 101, size)},
+			map[int]bool{0: false, 1: true},
+			map[int]bool{0: true, 1: false},
+		},
+		"the task is given up while its request waits": {
+			[]Event{reserveRequest(0, 100, 20000), crashReports(90, 91)},
+			map[int]bool{0: false},
+			map[int]bool{0: true},
+		},
+		"a withdrawn report does not count": {
+			[]Event{crashReports(90, 91), MessageReceived{From: "e0", SourceAddr: peerAddr(0), Message: PeerMessage{Crashes: []CrashReport{
+				{RunRef: RunRef{"other", namer.TaskName{Job: "a"}, 90}, Withdrawn: true},
+				{RunRef: RunRef{"other", namer.TaskName{Job: "a"}, 91}, Withdrawn: true},
+			}}}, reserveRequest(0, 100, size), reserveRequest(1, 101, size)},
+			map[int]bool{0: true, 1: true},
+			map[int]bool{0: false, 1: false},
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s, now := newOwner()
+			reserved, givenUp := reservationOutcomes(s.Step(now, 1, c.events))
+			must.Eq(t, c.reserved, reserved)
+			must.Eq(t, c.givenUp, givenUp)
+		})
+	}
+}
+
+// TestCountedCrashes checks when an owner counts a crash for a task with a run on its
+// worker.
+func TestCountedCrashes(t *testing.T) {
+	refused := PollResult{Worker: "w", NoResponse: true, Refused: true}
+	silent := PollResult{Worker: "w", NoResponse: true}
+	listed := []ActiveRun{{Task: namer.TaskName{Job: "a"}, Run: 100}}
+	draining := WorkerListUpdated{Workers: []WorkerInfo{{
+		ID: "w", Service: "s", Domain: "d0", Draining: true, Capacity: Resources{Cores: 16000, Memory: 1 << 20}, BootTime: 1,
+	}}}
+	cases := map[string]struct {
+		events []Event
+		want   int
+	}{
+		"the worker is silent":              {[]Event{silent, silent}, 0},
+		"the worker refuses connections":    {[]Event{refused, refused}, 1},
+		"the worker responds again":         {[]Event{refused, PollResult{Worker: "w", BootTime: 1, Clock: 2, Active: listed}}, 0},
+		"the worker has restarted":          {[]Event{PollResult{Worker: "w", BootTime: 2, Clock: 1}}, 1},
+		"it refuses, then it has restarted": {[]Event{refused, PollResult{Worker: "w", BootTime: 2, Clock: 1}}, 1},
+		"the worker has left":               {[]Event{draining, refused}, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s, now := newOwner()
+			s.Step(now, 1, []Event{reserveRequest(0, 100, 6000)})
+			s.Step(now, 1, []Event{startOrder(0, 100)})
+			s.Step(now, 1, []Event{StartResult{Worker: "w", Task: listed[0].Task, Run: 100, Status: StartAccepted, Clock: 1}})
+			for _, e := range c.events {
+				now = now.Add(30 * time.Millisecond)
+				s.Step(now, 1, []Event{e})
+			}
+			must.Eq(t, c.want, s.crashes.Count(listed[0].Task))
+		})
+	}
+}
+
+// TestNewOwnerLearnsCrashes checks that an instance that becomes an owner is told of the
+// crashes before.
+func TestNewOwnerLearnsCrashes(t *testing.T) {
+	s, now := newOwner()
+	s.Step(now, 1, []Event{crashReports(90, 91)})
+	heartbeat := ownerHeartbeat(1, "d0")
+	s.Step(now.Add(10*time.Millisecond), 1, []Event{heartbeat})
+	var told []CrashReport
+	for n := range 20 {
+		for _, a := range s.Step(now.Add(time.Duration(20+10*n)*time.Millisecond), 1, nil) {
+			if m, isMessage := a.(SendMessage); isMessage && m.To == peerAddr(1) {
+				told = append(told, m.Message.Crashes...)
+			}
+		}
+	}
+	must.GreaterEq(t, 2, len(told))
+}
--- a/internal/core/scheduler/message.go
+++ b/internal/core/scheduler/message.go
@@ -20,7 +20,8 @@
 	StartOrders      []RunRef          `cbor:"8,keyasint,omitempty"`
 	StartReports     []StartReport     `cbor:"9,keyasint,omitempty"`
 	// Payloads has the payload of each job with a start order.
-	Payloads []JobPayload `cbor:"10,keyasint,omitempty"`
+	Payloads []JobPayload  `cbor:"10,keyasint,omitempty"`
+	Crashes  []CrashReport `cbor:"11,keyasint,omitempty"`
 }
 
 // RunRef identifies a run and its worker.
@@ -47,11 +48,13 @@
 }
 
 // ReserveResponse answers a reserve request. Worker is empty if the request is
-// queued because no capacity is free.
+// queued because no capacity is free, or if the task is given up.
 type ReserveResponse struct {
 	Task   namer.TaskName `cbor:"1,keyasint"`
 	Run    namer.RunID    `cbor:"2,keyasint"`
 	Worker namer.Worker   `cbor:"3,keyasint,omitempty"`
+	// GivenUp is set if too many workers have crashed under the task.
+	GivenUp bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Cancellation withdraws a reserve request and releases what is reserved for it.
@@ -99,9 +102,16 @@
 	reportedAt time.Time
 }
 
+// CrashReport says that a run was lost in a crash of its worker, or that it turned out
+// not to be lost. Worker may be empty.
+type CrashReport struct {
+	RunRef
+	Withdrawn bool `cbor:"4,keyasint,omitempty"`
+}
+
 func (m *PeerMessage) isEmpty() bool {
 	return len(m.ReserveRequests)+len(m.ReserveResponses)+len(m.Cancellations)+len(m.RunEnds)+len(m.RunEndAcks)+len(m.Progress)+
-		len(m.Stops)+len(m.StartOrders)+len(m.StartReports) == 0
+		len(m.Stops)+len(m.StartOrders)+len(m.StartReports)+len(m.Crashes) == 0
 }
 
 // addStartOrder adds a start order and the payload of its job.
@@ -134,7 +144,7 @@
 		return first, second, len(orders) > 1
 	}
 	n := max(len(m.ReserveRequests), len(m.ReserveResponses), len(m.Cancellations), len(m.RunEnds), len(m.RunEndAcks), len(m.Progress),
-		len(m.Stops), len(m.StartReports))
+		len(m.Stops), len(m.StartReports), len(m.Crashes))
 	if n == 0 {
 		return first, second, false
 	}
@@ -142,7 +152,9 @@
 		// A single entry fits into a datagram, but entries of several fields may
 		// not.
 		first = PeerMessage{ReserveRequests: m.ReserveRequests, ReserveResponses: m.ReserveResponses, Cancellations: m.Cancellations}
-		second = PeerMessage{RunEnds: m.RunEnds, RunEndAcks: m.RunEndAcks, Progress: m.Progress, Stops: m.Stops, StartReports: m.StartReports}
+		second = PeerMessage{
+			RunEnds: m.RunEnds, RunEndAcks: m.RunEndAcks, Progress: m.Progress, Stops: m.Stops, StartReports: m.StartReports, Crashes: m.Crashes,
+		}
 		return first, second, !first.isEmpty() && !second.isEmpty()
 	}
 	half := n / 2
@@ -154,6 +166,7 @@
 	first.Progress, second.Progress = m.Progress[:min(half, len(m.Progress))], m.Progress[min(half, len(m.Progress)):]
 	first.Stops, second.Stops = m.Stops[:min(half, len(m.Stops))], m.Stops[min(half, len(m.Stops)):]
 	first.StartReports, second.StartReports = m.StartReports[:min(half, len(m.StartReports))], m.StartReports[min(half, len(m.StartReports)):]
+	first.Crashes, second.Crashes = m.Crashes[:min(half, len(m.Crashes))], m.Crashes[min(half, len(m.Crashes)):]
 	return first, second, true
 }
 
--- a/internal/core/scheduler/ownership.go
+++ b/internal/core/scheduler/ownership.go
@@ -20,7 +20,8 @@
 // setOwners records which other instances own workers, and whether this one does.
 func (s *Scheduler) setOwners(owners []registrar.Owner) {
 	s.isOwner = s.registrar.IsOwner()
-	for _, p := range s.owners {
+	known := slices.Clone(s.owners)
+	for _, p := range known {
 		p.isOwner = false
 	}
 	s.owners = s.owners[:0]
@@ -28,6 +29,9 @@
 		p := s.peerNamed(o.Name)
 		p.domain, p.cpuLimit, p.isOwner = o.Domain, o.CPULimit, true
 		s.owners = append(s.owners, p)
+		if !slices.Contains(known, p) {
+			s.sendAllCrashes(p)
+		}
 	}
 	s.ownersOutdated = true
 }
--- a/internal/core/scheduler/peer.go
+++ b/internal/core/scheduler/peer.go
@@ -369,6 +369,9 @@
 	for _, r := range e.Message.Stops {
 		s.emit(Stop(r))
 	}
+	for i := range e.Message.Crashes {
+		s.handleCrashReport(&e.Message.Crashes[i])
+	}
 }
 
 // sendRunEnd notifies an instance that one of its runs has ended.
--- a/internal/core/scheduler/placement.go
+++ b/internal/core/scheduler/placement.go
@@ -35,9 +35,11 @@
 	urgency urgencyClass
 	// dueAt is when the request expires, or when a started job misses its
 	// objective.
-	dueAt   time.Time
-	task    *task
-	pending *pendingRequest
+	dueAt time.Time
+	// isolated is set if the task needs a worker for itself.
+	isolated bool
+	task     *task
+	pending  *pendingRequest
 }
 
 // urgencyClass is the main criterion for the order of placement: started jobs
@@ -113,7 +115,7 @@
 			if t.state == taskWaiting && t.step.Size.Cores <= maxCores && j.isReady(t) {
 				out = append(out, placementRequest{
 					service: j.Service, step: t.step, kind: kind, work: taskCoreSeconds(t.step.Size, kind.predictRunTime(t.step)),
-					urgency: urgency, dueAt: dueAt, task: t,
+					urgency: urgency, dueAt: dueAt, isolated: s.isIsolated(t.id), task: t,
 				})
 			}
 		}
@@ -125,7 +127,7 @@
 		}
 		out = append(out, placementRequest{
 			service: pending.Service, step: &pending.step, kind: s.kindState(pending.Kind), work: taskCoreSeconds(pending.Size, pending.step.EstimatedRunTime),
-			urgency: pending.Urgency, dueAt: pending.expiresAt, pending: pending,
+			urgency: pending.Urgency, dueAt: pending.expiresAt, isolated: s.isIsolated(pending.Task), pending: pending,
 		})
 	}
 	slices.SortStableFunc(out, func(a, b placementRequest) int { return a.dueAt.Compare(b.dueAt) })
@@ -186,7 +188,7 @@
 	}
 	target := p.s.chooseWorker(request)
 	if target == nil {
-		if request.step.RequiredLabel == "" && request.step.MaxPerWorker == 0 {
+		if request.step.RequiredLabel == "" && request.step.MaxPerWorker == 0 && !request.isolated {
 			p.smallestUnplaced[request.service] = request.step.Size.Cores
 		}
 		return false
@@ -194,13 +196,21 @@
 	p.s.chargeKind(request)
 	if request.task != nil {
 		request.task.job.placed = true
-		p.s.startTask(request.task, target)
+		p.s.startTask(request.task, target, request.sizeOn(target))
 		return true
 	}
-	p.s.reserve(request.pending, target)
+	p.s.reserve(request.pending, target, request.sizeOn(target))
 	return true
 }
 
+// sizeOn returns the capacity that the task takes on a worker.
+func (r *placementRequest) sizeOn(w *worker) Resources {
+	if r.isolated {
+		return w.capacity
+	}
+	return r.step.Size
+}
+
 // chooseWorker returns the usable owned worker with the tightest fit, or nil.
 func (s *Scheduler) chooseWorker(request *placementRequest) *worker {
 	step := request.step
@@ -209,6 +219,9 @@
 		if w.service != request.service || s.now.Before(w.fullUntil) || !step.Size.fitsIn(w.freeCapacity()) {
 			continue
 		}
+		if request.isolated && !w.isUnused() {
+			continue
+		}
 		if !s.isUsable(w) || !w.hasLabel(step.RequiredLabel) || w.isProbing() {
 			continue
 		}
@@ -226,6 +239,11 @@
 // single trial run.
 func (w *worker) isProbing() bool { return w.breakerTrips > 0 && len(w.ownRuns) > 0 }
 
+// isUnused reports whether nothing runs on a worker and nothing is reserved there.
+func (w *worker) isUnused() bool {
+	return len(w.ownRuns)+len(w.foreignRuns)+len(w.reservations) == 0
+}
+
 func (w *worker) runsOfStep(t *task) int {
 	n := 0
 	for _, r := range w.ownRuns {
@@ -237,9 +255,9 @@
 }
 
 // startTask starts a task on an owned worker, under a new run number.
-func (s *Scheduler) startTask(t *task, w *worker) {
+func (s *Scheduler) startTask(t *task, w *worker, size Resources) {
 	s.lastRunCount++
-	r := s.addRun(t, w, namer.NewRunID(s.lastRunCount, s.RunTag))
+	r := s.addRun(t, w, namer.NewRunID(s.lastRunCount, s.RunTag), size)
 	s.emit(Start{
 		Worker: w.id, Task: r.taskID, Run: r.number, Payload: t.job.Payload, LeaseUntil: s.leaseEnd(w), Timeout: s.startTimeout(),
 	})
@@ -247,12 +265,12 @@
 
 // addRun adds a run that is about to be started, and cancels the task's reserve
 // requests.
-func (s *Scheduler) addRun(t *task, w *worker, number namer.RunID) *run {
+func (s *Scheduler) addRun(t *task, w *worker, number namer.RunID, size Resources) *run {
 	s.cancelReserveRequests(t)
 	t.job.placed = true
 	kind := s.kindState(t.job.Kind)
 	r := &run{
-		taskID: t.id, number: number, worker: w, size: t.step.Size,
+		taskID: t.id, number: number, worker: w, size: size,
 		task: t, predictedRunTime: kind.predictRunTime(t.step),
 	}
 	t.run, t.state = r, taskStarting
--- a/internal/core/scheduler/poll.go
+++ b/internal/core/scheduler/poll.go
@@ -115,6 +115,9 @@
 		s.placementDue = true
 		s.emit(Decision{Event: eventer.WorkerReachable, Worker: w.id, Age: s.sinceLastSeen(w)})
 	}
+	if w.crashed {
+		s.withdrawLostRuns(w)
+	}
 	w.lastSeen, w.suspected, w.crashed, w.failedPolls, w.runsListed = s.now, false, false, 0, true
 	w.setClock(s.now, e.Clock)
 	hasNewEnd := s.handleEndedRuns(w, e)
--- a/internal/core/scheduler/reservation.go
+++ b/internal/core/scheduler/reservation.go
@@ -170,6 +170,10 @@
 // already reserved for it, the response is repeated.
 func (s *Scheduler) handleReserveRequest(p *peer, request *ReserveRequest) {
 	key := runKey{request.Task, request.Run}
+	if s.isGivenUp(request.Task) {
+		s.sendGivenUp(p, key)
+		return
+	}
 	for _, w := range s.ownedWorkers {
 		if w.reservationIndex(key) >= 0 {
 			s.sendGrant(p, key, w)
@@ -197,9 +201,9 @@
 }
 
 // reserve reserves capacity on a worker for a peer's request.
-func (s *Scheduler) reserve(request *pendingRequest, w *worker) {
+func (s *Scheduler) reserve(request *pendingRequest, w *worker, size Resources) {
 	w.reservations = append(w.reservations, reservation{
-		key: runKey{request.Task, request.Run}, peer: request.peer, size: request.Size, expiresAt: s.now.Add(reservationTime),
+		key: runKey{request.Task, request.Run}, peer: request.peer, size: size, expiresAt: s.now.Add(reservationTime),
 	})
 	request.reserved = true
 	s.emit(Decision{
@@ -233,6 +237,12 @@
 // reserved.
 func (s *Scheduler) handleReserveResponse(p *peer, response *ReserveResponse) {
 	t := s.requestedRuns[response.Run]
+	if response.GivenUp {
+		if t != nil && t.id == response.Task {
+			s.failCrashing(t.job, t.id)
+		}
+		return
+	}
 	if response.Worker == "" {
 		s.handleQueued(p, t)
 		return
@@ -254,7 +264,7 @@
 		return
 	}
 	t.requestedOwners = slices.DeleteFunc(t.requestedOwners, func(o *peer) bool { return o == p })
-	r := s.addRun(t, w, response.Run)
+	r := s.addRun(t, w, response.Run, t.step.Size)
 	r.grantedBy, r.orderedAt = p, s.now
 	s.outboxOf(p).addStartOrder(RunRef{w.id, r.taskID, r.number}, t.job.Payload)
 }
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -15,6 +15,7 @@
 	"sort"
 	"time"
 
+	"github.com/heatherslip/heatherslip/internal/core/crashcounter"
 	"github.com/heatherslip/heatherslip/internal/core/hasher"
 	"github.com/heatherslip/heatherslip/internal/core/registrar"
 	"github.com/heatherslip/heatherslip/internal/wire/eventer"
@@ -60,6 +61,10 @@
 	// staleRuns counts, by job, the runs that may still exist but belong to no
 	// open job here. While the count is positive, no task of that job is placed.
 	staleRuns map[namer.JobName]int
+	// crashes counts the runs that were lost in a crash of their worker, and
+	// crashReports has the reports on them that are to be sent again.
+	crashes      *crashcounter.Table
+	crashReports []crashReport
 
 	registrar *registrar.Registrar
 	draining  bool
@@ -161,6 +166,7 @@
 		requestedRuns: make(map[namer.RunID]*task),
 		orderedStarts: make(map[runKey]*peer),
 		staleRuns:     make(map[namer.JobName]int),
+		crashes:       crashcounter.New(),
 		workers:       make(map[namer.Worker]*worker),
 		lastRunCount:  runCountAt(wall),
 		leaseTime:     leaseTimeFor(s),
@@ -224,6 +230,7 @@
 	s.placeTasks()
 	s.sendStops()
 	s.sendPolls()
+	s.sendCrashReports()
 	s.sendPeerMessages()
 	out := s.actions
 	s.actions = nil
--- a/internal/core/scheduler/worker.go
+++ b/internal/core/scheduler/worker.go
@@ -56,8 +56,10 @@
 	// suspected is set by a request without a response, until the next poll
 	// result.
 	suspected bool
-	// crashed is set while the worker's address refuses connections.
+	// crashed is set while the worker's address refuses connections. lostRuns are the
+	// runs that were counted as lost then.
 	crashed             bool
+	lostRuns            []RunRef
 	consecutiveFailures int
 	// breakerTrips counts how often the breaker has opened since the last
 	// success. While it is positive, the worker gets one run at a time.
@@ -245,7 +247,11 @@
 	if first && !w.runsListed {
 		return
 	}
+	if !w.crashed {
+		s.recordLostRuns(w)
+	}
 	s.emit(Decision{Event: eventer.WorkerRestarted, Worker: w.id})
+	w.crashed, w.lostRuns = false, nil
 	w.runsListed, w.listedSequence, w.clockReading = false, 0, 0
 	w.unackedEnds = make(map[int64]time.Time)
 	w.reservations = nil
--- a/internal/edge/driver/decision_log.go
+++ b/internal/edge/driver/decision_log.go
@@ -55,6 +55,9 @@
 	if decision.Age != 0 {
 		line = line.Float64("age_ms", toMillis(decision.Age))
 	}
+	if decision.Crashes != 0 {
+		line = line.Int("crashes", decision.Crashes)
+	}
 	if decision.Tasks != 0 {
 		line = line.Int("tasks", decision.Tasks)
 	}
--- a/internal/wire/eventer/events.go
+++ b/internal/wire/eventer/events.go
@@ -168,7 +168,7 @@
 		{RunMissing, "task vanished", "A worker reports neither a run nor its end; the task is started again."},
 		{RunOrphaned, "run abandoned", "A run was stopped because its instance is silent, or because its job was sent again to this instance."},
 		{CapacityReserved, "capacity reserved", "The owner of a worker has reserved capacity for a task of another instance; the line has what is left after it."},
-		{RunLost, "run lost", "A run was on a worker that has crashed."},
+		{RunLost, "run lost", "A run was on a worker that has crashed. After the first crash its task gets a worker for itself, after the second its job fails."},
 		{WorkerListed, "worker listed", "The platform lists a new worker."},
 		{WorkerDraining, "worker draining", "A worker is draining; it gets no new starts."},
 		{WorkerRemoved, "worker gone", "The platform no longer lists a worker."},
