platform: a start that reached no worker is not in doubt

What callers saw: the first starts on a worker that has just crashed are refused by its machine. Each made its job wait for a proof that the run does not exist, until the job was given up with 504, though nothing of it had run there.

Cause: every error of the call was a start without a response. Class: an answer that was lost and a call that was never sent are told apart nowhere.

A connection that ends without a response is in doubt as before. A worker without a known address is not called either.

--- a/internal/core/scheduler/event.go
+++ b/internal/core/scheduler/event.go
@@ -65,6 +65,9 @@
 	// StartNoResponse means that there was no usable response: the run may exist,
 	// or start later.
 	StartNoResponse
+	// StartNotSent means that there was no connection to the worker, so the run does
+	// not exist.
+	StartNotSent
 )
 
 // StartResult is the result of a Start.
--- a/internal/core/scheduler/run.go
+++ b/internal/core/scheduler/run.go
@@ -77,7 +77,7 @@
 
 // recordStartResult records what the result of a start says about the worker.
 func (s *Scheduler) recordStartResult(w *worker, e StartResult) {
-	if e.Status != StartNoResponse {
+	if e.Status != StartNoResponse && e.Status != StartNotSent {
 		w.setClock(s.now, e.Clock)
 	}
 	switch e.Status {
@@ -89,7 +89,7 @@
 		w.runsListed = false
 	case StartRefused:
 		s.recordFailure(w)
-	case StartNoResponse:
+	case StartNoResponse, StartNotSent:
 		w.suspected = true
 		s.sendImmediatePoll(w)
 	}
@@ -132,6 +132,7 @@
 	StartWrongIncarnation: "worker has another incarnation",
 	StartRefused:          "refused",
 	StartNoResponse:       "no answer",
+	StartNotSent:          "no connection",
 }
 
 // markInDoubt handles a start without a response. It polls the worker: if the run
--- a/internal/core/scheduler/simulation_test.go
+++ b/internal/core/scheduler/simulation_test.go
@@ -586,7 +586,9 @@
 func (i *simInstance) performStart(a Start) {
 	e := StartResult{Worker: a.Worker, Task: a.Task, Run: a.Run, Status: StartNoResponse, Latency: a.Timeout}
 	sentAt := i.w.now
-	i.callWorker(a.Worker, a.Timeout, e, e, func(s *simWorker, respond func(Event)) {
+	refused := e
+	refused.Status = StartNotSent
+	i.callWorker(a.Worker, a.Timeout, e, refused, func(s *simWorker, respond func(Event)) {
 		j := i.w.jobsByName[a.Task.Job]
 		e.Status = s.start(runKey{a.Task, a.Run}, a.LeaseUntil, j.taskCores[a.Task.Index], j.taskRunTimes[a.Task.Index])
 		e.Clock = s.clock()
--- a/internal/edge/driver/driver.go
+++ b/internal/edge/driver/driver.go
@@ -368,7 +368,7 @@
 		d.deliverResult(a)
 	case scheduler.Start:
 		d.callWorker(a.Worker, func(c *platform.WorkerClient) { d.startRun(c, a) }, scheduler.StartResult{
-			Worker: a.Worker, Task: a.Task, Run: a.Run, Status: scheduler.StartNoResponse,
+			Worker: a.Worker, Task: a.Task, Run: a.Run, Status: scheduler.StartNotSent,
 		})
 	case scheduler.Stop:
 		d.callWorker(a.Worker, func(c *platform.WorkerClient) { d.PushEvent(c.StopRun(d.ctx, a)) }, scheduler.StopResult{
