scheduler: a start that reached no crashed worker is no crash

What callers could see: a job that did nothing wrong is answered as failed.

Cause: when a worker refused connections, each start there that had no result yet was counted as a run on it. One that was sent after the crash never ran; with a crash beside it before, its task had two, and its job was given up.

The case "the start reaches no worker" of TestCountedCrashes failed before (1 crash where there is none).

Change: a start counts once its result says that it may have taken effect.

--- a/internal/core/scheduler/crash.go
+++ b/internal/core/scheduler/crash.go
@@ -41,16 +41,21 @@
 // recordLostRuns counts a crash of a worker for each task with a run there. A draining
 // worker may have left instead.
 func (s *Scheduler) recordLostRuns(w *worker) {
-	lost := w.runRefs()
+	lost := w.startedRuns()
 	s.emit(Decision{Event: eventer.WorkerCrashed, Worker: w.id, Tasks: len(lost), Age: s.sinceLastSeen(w)})
+	for _, r := range lost {
+		s.recordLostRun(w, r)
+	}
+}
+
+// recordLostRun counts a crash of a worker for the task of a run.
+func (s *Scheduler) recordLostRun(w *worker, r RunRef) {
 	if w.draining {
 		return
 	}
-	w.lostRuns = lost
-	for _, r := range lost {
-		if s.recordCrash(r) {
-			s.reportCrash(CrashReport{RunRef: r})
-		}
+	w.lostRuns = append(w.lostRuns, r)
+	if s.recordCrash(r) {
+		s.reportCrash(CrashReport{RunRef: r})
 	}
 }
 
@@ -64,20 +69,18 @@
 	w.lostRuns = nil
 }
 
-// runRefs returns the runs that may exist on a worker, as far as this instance knows.
-func (w *worker) runRefs() []RunRef {
+// startedRuns returns the runs that may have started on a worker, as far as this
+// instance knows. A start without a result yet may turn out not to have been sent.
+func (w *worker) startedRuns() []RunRef {
 	var out []RunRef
 	for _, r := range w.ownRuns {
-		out = append(out, RunRef{w.id, r.taskID, r.number})
+		if r.confirmed || r.inDoubt {
+			out = append(out, RunRef{w.id, r.taskID, r.number})
+		}
 	}
 	for i := range w.foreignRuns {
 		out = append(out, RunRef{w.id, w.foreignRuns[i].Task, w.foreignRuns[i].Run})
 	}
-	for i := range w.reservations {
-		if p := &w.reservations[i]; p.starting {
-			out = append(out, RunRef{w.id, p.key.task, p.key.run})
-		}
-	}
 	return out
 }
 
--- a/internal/core/scheduler/crash_test.go
+++ b/internal/core/scheduler/crash_test.go
@@ -29,6 +29,7 @@
 	actions := s.Step(now, 0, []Event{reserveRequest(0, 100, 6000)})
 	worker := reservedWorkers(actions)[0]
 	s.Step(now, 0, []Event{startOrder(0, 100)})
+	s.Step(now, 0, []Event{StartResult{Worker: worker, Task: namer.TaskName{Job: "a"}, Run: 100, Status: StartAccepted, Clock: 1}})
 	refused := PollResult{Worker: worker, NoResponse: true, Refused: true, SentAt: now}
 
 	actions = s.Step(now.Add(10*time.Millisecond), 0, []Event{refused})
@@ -215,6 +216,10 @@
 func TestCountedCrashes(t *testing.T) {
 	refused := PollResult{Worker: "w", NoResponse: true, Refused: true}
 	silent := PollResult{Worker: "w", NoResponse: true}
+	startResult := func(status StartStatus) Event {
+		return StartResult{Worker: "w", Task: namer.TaskName{Job: "a"}, Run: 100, Status: status, Clock: 1}
+	}
+	accepted := startResult(StartAccepted)
 	listed := []ActiveRun{{Task: namer.TaskName{Job: "a"}, Run: 100}}
 	draining := WorkerListUpdated{Workers: []WorkerInfo{{
 		ID: "w", Service: "s", Domain: "d0", Draining: true, Capacity: Resources{Cores: 16000, Memory: 1 << 20}, BootTime: 1,
@@ -223,19 +228,22 @@
 		events []Event
 		want   int
 	}{
-		"the worker is silent":              {[]Event{silent, silent}, 0},
-		"the worker refuses connections":    {[]Event{refused, refused}, 1},
-		"the worker responds again":         {[]Event{refused, PollResult{Worker: "w", BootTime: 1, Clock: 2, Active: listed}}, 0},
-		"the worker has restarted":          {[]Event{PollResult{Worker: "w", BootTime: 2, Clock: 1}}, 1},
-		"it refuses, then it has restarted": {[]Event{refused, PollResult{Worker: "w", BootTime: 2, Clock: 1}}, 1},
-		"the worker has left":               {[]Event{draining, refused}, 0},
+		"the worker is silent":              {[]Event{accepted, silent, silent}, 0},
+		"the worker refuses connections":    {[]Event{accepted, refused, refused}, 1},
+		"the worker responds again":         {[]Event{accepted, refused, PollResult{Worker: "w", BootTime: 1, Clock: 2, Active: listed}}, 0},
+		"the worker has restarted":          {[]Event{accepted, PollResult{Worker: "w", BootTime: 2, Clock: 1}}, 1},
+		"it refuses, then it has restarted": {[]Event{accepted, refused, PollResult{Worker: "w", BootTime: 2, Clock: 1}}, 1},
+		"the worker has left":               {[]Event{accepted, draining, refused}, 0},
+		"the start got no response":         {[]Event{startResult(StartNoResponse), refused}, 1},
+		"the start gets no response":        {[]Event{refused, startResult(StartNoResponse)}, 1},
+		"the start reached no worker":       {[]Event{startResult(StartNotSent), refused}, 0},
+		"the start reaches no worker":       {[]Event{refused, startResult(StartNotSent)}, 0},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			s, now := newOwner()
 			s.Step(now, 1, []Event{reserveRequest(0, 100, 6000)})
 			s.Step(now, 1, []Event{startOrder(0, 100)})
-			s.Step(now, 1, []Event{StartResult{Worker: "w", Task: listed[0].Task, Run: 100, Status: StartAccepted, Clock: 1}})
 			for _, e := range c.events {
 				now = now.Add(30 * time.Millisecond)
 				s.Step(now, 1, []Event{e})
--- a/internal/core/scheduler/run.go
+++ b/internal/core/scheduler/run.go
@@ -89,7 +89,13 @@
 		w.runsListed = false
 	case StartRefused:
 		s.recordFailure(w)
-	case StartNoResponse, StartNotSent:
+	case StartNoResponse:
+		if w.crashed {
+			s.recordLostRun(w, RunRef{w.id, e.Task, e.Run})
+		}
+		w.suspected = true
+		s.sendImmediatePoll(w)
+	case StartNotSent:
 		w.suspected = true
 		s.sendImmediatePoll(w)
 	}
