scheduler: a job on a crashed worker gets its answer at once

What callers saw: a job with a run on a crashed worker was held until it could no longer end in time, about three times its objective, though its worker's process was gone: 473 ms where the objective was 172 ms. Its other tasks went on meanwhile.

Cause: a crash was taken for silence, which may pass. What is known in truth is that the run can't start again before the worker is back and lists no runs.

Change: once its worker counts as crashed, a job that could not end within the least time of a restart (2 s) is answered: 504 with Retry-After, since it has run. One that can waits as before. The instance of the job learns of the crash from the owner.

Evidence: TestLostRunEndsJob failed before (no answer).

--- a/internal/core/scheduler/admission.go
+++ b/internal/core/scheduler/admission.go
@@ -272,7 +272,14 @@
 	limit := earlier(j.usefulUntil, j.deadline)
 	kind := s.kindState(j.Kind)
 	for _, t := range j.tasks {
-		if t.state == taskDone || !s.now.Add(kind.predictRunTime(t.step)).After(limit) {
+		if t.state == taskDone {
+			continue
+		}
+		earliestEnd := s.now.Add(kind.predictRunTime(t.step))
+		if t.run != nil && t.run.lost && earliestEnd.Add(minRestartTime).After(limit) {
+			return "worker " + string(t.run.worker.id) + " crashed under task " + taskLabel(t.id)
+		}
+		if !earliestEnd.After(limit) {
 			continue
 		}
 		switch {
--- a/internal/core/scheduler/crash.go
+++ b/internal/core/scheduler/crash.go
@@ -20,6 +20,9 @@
 	// Reports of crashes are sent crashReportSends times, since messages may be lost.
 	crashReportSends    = 3
 	crashReportInterval = 200 * time.Millisecond
+	// minRestartTime is the least time after a crash until the worker is back. Only
+	// then a lost run is known to have ended, and its task may start again.
+	minRestartTime = 2 * time.Second
 )
 
 // crashReport is a report to the owners that is sent several times.
@@ -63,12 +66,19 @@
 // incarnation.
 func (s *Scheduler) withdrawLostRuns(w *worker) {
 	for _, r := range w.lostRuns {
-		s.crashes.Remove(crashcounter.Run{Task: r.Task, ID: r.Run})
+		s.withdrawCrash(r)
 		s.reportCrash(CrashReport{RunRef: r, Withdrawn: true})
 	}
 	w.lostRuns = nil
 }
 
+func (s *Scheduler) withdrawCrash(ref RunRef) {
+	s.crashes.Remove(crashcounter.Run{Task: ref.Task, ID: ref.Run})
+	if r := s.runs[runKey{ref.Task, ref.Run}]; r != nil {
+		r.lost = false
+	}
+}
+
 // startedRuns returns the runs that may have started on a worker, as far as this
 // instance knows. A start without a result yet may turn out not to have been sent.
 func (w *worker) startedRuns() []RunRef {
@@ -94,6 +104,9 @@
 		Event: eventer.RunLost, Job: r.Task.Job, Task: taskLabel(r.Task), Run: r.Run, Worker: r.Worker,
 		Crashes: s.crashes.Count(r.Task),
 	})
+	if own := s.runs[runKey{r.Task, r.Run}]; own != nil {
+		own.lost = true
+	}
 	if s.isGivenUp(r.Task) {
 		s.giveUpTask(r.Task)
 	}
@@ -180,7 +193,7 @@
 // handleCrashReport records what a peer reports on a lost run.
 func (s *Scheduler) handleCrashReport(report *CrashReport) {
 	if report.Withdrawn {
-		s.crashes.Remove(crashcounter.Run{Task: report.Task, ID: report.Run})
+		s.withdrawCrash(report.RunRef)
 		return
 	}
 	s.recordCrash(report.RunRef)
--- a/internal/core/scheduler/crash_test.go
+++ b/internal/core/scheduler/crash_test.go
@@ -270,3 +270,34 @@
 	}
 	must.GreaterEq(t, 2, len(told))
 }
+
+// TestLostRunEndsJob guards against a caller who waits for the answer of a crashed
+// worker until its job can no longer end in time.
+func TestLostRunEndsJob(t *testing.T) {
+	cases := map[string]struct {
+		objective time.Duration
+		want      []Outcome
+	}{
+		"the task can't start again in time": {500 * time.Millisecond, []Outcome{Aborted}},
+		"the task may start again in time":   {5 * time.Second, nil},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s, now := newOwner()
+			starts := startsOf(s.Step(now, 1, []Event{JobSubmitted{Call: 1, Job: JobSpec{
+				Name: "b", Kind: "short", Service: "s", MaxAttempts: 2, ObjectiveFactor: 1, ObjectiveBase: c.objective,
+				CallerTimeout: time.Minute, Steps: []StepSpec{{Count: 1, Size: Resources{Cores: 8000}, EstimatedRunTime: 60 * time.Millisecond}},
+			}}}))
+			must.Len(t, 1, starts)
+			s.Step(now, 1, []Event{StartResult{Worker: "w", Task: starts[0].Task, Run: starts[0].Run, Status: StartAccepted, Clock: 1}})
+			actions := s.Step(now.Add(20*time.Millisecond), 1, []Event{PollResult{Worker: "w", NoResponse: true, Refused: true}})
+			var got []Outcome
+			for _, a := range append(actions, s.Step(now.Add(20*time.Millisecond+deadlineCheckInterval), 1, nil)...) {
+				if r, isResult := a.(JobResult); isResult {
+					got = append(got, r.Outcome)
+				}
+			}
+			must.Eq(t, c.want, got)
+		})
+	}
+}
--- a/internal/core/scheduler/run.go
+++ b/internal/core/scheduler/run.go
@@ -29,6 +29,8 @@
 	// confirmed since.
 	inDoubt      bool
 	inDoubtSince time.Time
+	// lost is set while the run's worker counts as crashed.
+	lost bool
 	// stopRequested is set once the run is to be stopped, stopInFlight while a
 	// stop request is unanswered.
 	stopRequested bool
