scheduler: forget runs on workers that are lost for good

What callers saw: a job with a run on a worker that never came back was refused with "no room in time" each time that it was sent to the same instance again, for as long as the instance lived. The instance was never idle either: it took a step each 10 ms and waited for those runs when it shut down.

A run stays in the tables until its end is known, and nobody reports the end of a run on a worker that is gone.

Evidence: TestRunsOfLostWorkersAreForgotten failed before (not idle 32 s after the worker was removed).

Change: unwanted runs are removed once the platform has removed their worker and it has not responded for 30 s. Leases last 1 s and delayed starts some seconds. A worker that is only silent keeps its runs, as the second case checks.

--- a/internal/core/scheduler/crash.go
+++ b/internal/core/scheduler/crash.go
@@ -23,6 +23,10 @@
 	// minRestartTime is the least time after a crash until the worker is back. Only
 	// then a lost run is known to have ended, and its task may start again.
 	minRestartTime = 2 * time.Second
+	// lostRunRetention is how long the runs on a worker that the platform has removed
+	// are kept if it does not respond. Their leases have expired, and no delayed start
+	// is on its way any more.
+	lostRunRetention = 30 * time.Second
 )
 
 // crashReport is a report to the owners that is sent several times.
@@ -198,3 +202,18 @@
 	}
 	s.recordCrash(report.RunRef)
 }
+
+// forgetLostRuns removes the unwanted runs on workers that were removed long ago and do
+// not respond. Nobody will report their ends.
+func (s *Scheduler) forgetLostRuns() {
+	for _, w := range slices.Clone(s.sortedWorkers) {
+		if !w.removed || s.now.Sub(w.removedAt) <= lostRunRetention || s.now.Sub(w.lastSeen) <= lostRunRetention {
+			continue
+		}
+		for _, r := range slices.Clone(w.ownRuns) {
+			if r.task == nil {
+				s.removeRun(r)
+			}
+		}
+	}
+}
--- a/internal/core/scheduler/crash_test.go
+++ b/internal/core/scheduler/crash_test.go
@@ -301,3 +301,35 @@
 		})
 	}
 }
+
+// TestRunsOfLostWorkersAreForgotten guards against runs that stay in the tables after
+// their worker is lost for good, since nobody reports their end: the instance is never
+// idle, and a job that is submitted again gets no worker.
+func TestRunsOfLostWorkersAreForgotten(t *testing.T) {
+	removed := WorkerListUpdated{Workers: []WorkerInfo{{ID: "w", Removed: true}}}
+	cases := map[string]struct {
+		list *WorkerListUpdated
+		idle bool
+	}{
+		"the worker is silent":             {nil, false},
+		"the worker is silent and removed": {&removed, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s, now := newOwner()
+			starts := startsOf(s.Step(now, 1, []Event{JobSubmitted{Call: 1, Job: JobSpec{
+				Name: "b", Kind: "short", Service: "s", MaxAttempts: 2, ObjectiveFactor: 1, ObjectiveBase: time.Second,
+				CallerTimeout: time.Second, Steps: []StepSpec{{Count: 1, Size: Resources{Cores: 8000}, EstimatedRunTime: 60 * time.Millisecond}},
+			}}}))
+			must.Len(t, 1, starts)
+			s.Step(now, 1, []Event{StartResult{Worker: "w", Task: starts[0].Task, Run: starts[0].Run, Status: StartAccepted, Clock: 1}})
+			if c.list != nil {
+				s.Step(now, 1, []Event{*c.list})
+			}
+			for end := now.Add(lostRunRetention + 2*peerCheckInterval); now.Before(end); now = now.Add(100 * time.Millisecond) {
+				s.Step(now, 1, []Event{ownerHeartbeat(0, "d0"), PollResult{Worker: "w", NoResponse: true}})
+			}
+			must.Eq(t, c.idle, s.Idle())
+		})
+	}
+}
--- a/internal/core/scheduler/worker.go
+++ b/internal/core/scheduler/worker.go
@@ -19,10 +19,11 @@
 	// may have newer, and once the platform has removed it. The entry stays while runs
 	// of this instance may exist there.
 	listed bool
-	// removed is set once the platform has removed the worker.
-	removed  bool
-	capacity Resources
-	labels   []string
+	// removed is set once the platform has removed the worker, at removedAt.
+	removed   bool
+	removedAt time.Time
+	capacity  Resources
+	labels    []string
 	// bootTime identifies the incarnation that the fields below refer to.
 	bootTime namer.UnixMillis
 	// clockReading is the worker's clock as of clockReadAt.
@@ -193,7 +194,7 @@
 		w := s.workers[info.ID]
 		switch {
 		case info.Removed && w != nil:
-			w.listed, w.removed = false, true
+			w.listed, w.removed, w.removedAt = false, true, s.now
 			s.ownersOutdated = true
 			s.emit(Decision{Event: eventer.WorkerRemoved, Worker: w.id})
 			s.removeIfUnused(w)
