soaker: a client whose task crashes its workers

The soak of real processes had no task that crashes its worker. One client sends such a job to one instance after the other, under all faults, until it is told that the job failed; the task may start five times.

--- a/internal/bench/soaker/soaker.go
+++ b/internal/bench/soaker/soaker.go
@@ -36,6 +36,8 @@
 	violations []string
 	// The counters classify each job by its last response.
 	servedJobs, refusedJobs, unansweredJobs int
+	// failedJobs counts the jobs that crash their workers and were told to have failed.
+	failedJobs int
 }
 
 // Options configures a soak test.
@@ -59,6 +61,10 @@
 	// responseTimeout is how long a client waits for a response.
 	responseTimeout = 4 * time.Second
 	maxAttempts     = 3
+	// maxCrashingStarts is how often a task that crashes its workers may be started:
+	// three times, and twice more. Its client sends the job maxCrashingAttempts times.
+	maxCrashingStarts   = 5
+	maxCrashingAttempts = 12
 	// settleTime is how long the fleet runs without faults before and after the faults.
 	settleTime = 2500 * time.Millisecond
 	// meanFaultInterval is the mean pause between faults.
@@ -230,6 +236,11 @@
 			s.runClient(ctx, n, rng)
 		}()
 	}
+	clients.Add(1)
+	go func() {
+		defer clients.Done()
+		s.runCrashingClient(ctx, rand.New(rand.NewPCG(s.opts.Seed, uint64(s.opts.Clients))))
+	}()
 	s.injectFaults()
 	s.clearFaults()
 	time.Sleep(settleTime)
@@ -249,7 +260,8 @@
 func (s *Soak) Summary() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return fmt.Sprintf("seed %d: %d jobs served, %d refused, %d without a response", s.opts.Seed, s.servedJobs, s.refusedJobs, s.unansweredJobs)
+	return fmt.Sprintf("seed %d: %d jobs served, %d refused, %d without a response, %d failed as they should",
+		s.opts.Seed, s.servedJobs, s.refusedJobs, s.unansweredJobs, s.failedJobs)
 }
 
 func (s *Soak) reportViolation(format string, args ...any) {
@@ -304,6 +316,35 @@
 	return instance
 }
 
+// runCrashingClient sends a job whose task crashes its workers to one instance after the
+// other until it is told that the job failed, and then another one, until ctx ends.
+func (s *Soak) runCrashingClient(ctx context.Context, rng *rand.Rand) {
+	c := &http.Client{Timeout: responseTimeout}
+	defer c.CloseIdleConnections()
+	for seq := 0; ctx.Err() == nil; seq++ {
+		id := fmt.Sprintf("dead%012x", seq)
+		for range maxCrashingAttempts {
+			instance := rng.IntN(len(s.processes))
+			status, state, err := s.sendRequest(c, instance, emulator.NewCrashingJobRequest(s.instanceAddress(instance), id))
+			if err == nil && status == http.StatusOK {
+				if state != "failed" {
+					s.reportViolation("job %s crashes its workers and is reported as %s", id, state)
+				}
+				s.increment(&s.failedJobs)
+				break
+			}
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(resendDelay):
+			}
+		}
+		if n := s.site.Runs.StartedRuns(id); n > maxCrashingStarts {
+			s.reportViolation("the task of job %s was started %d times, though it crashes its workers", id, n)
+		}
+	}
+}
+
 func (s *Soak) increment(counter *int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
