scheduler: a test of workers that do not check their capacity, red where owners change

All sites so far have workers that reject what does not fit, so an overload was only a rejected start.

Causes, as far as seen: an instance that is cut off from its peers, or wakes up, takes itself for the owner beside another one; and an owner that takes a worker over counts runs that it does not know by a typical size. A fix needs an owner's fence at the worker, or a hand-over that waits for the predecessor's last start, and the sizes of runs from their instances; it is not made here.

--- a/internal/core/scheduler/capacity_test.go
+++ b/internal/core/scheduler/capacity_test.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -55,3 +57,42 @@
 		})
 	}
 }
+
+// ownerFaults are the faults during which a worker gets another owner.
+var ownerFaults = map[string]bool{
+	"all instances crash at once":            true,
+	"domain is partitioned":                  true,
+	"instance crashes and restarts":          true,
+	"instance freezes and resumes":           true,
+	"instance freezes for less than a lease": true,
+	"instance is partitioned from its peers": true,
+}
+
+// TestUnguardedWorkers checks that no start overloads a worker that does not check its
+// capacity itself, under each fault that leaves its owner in place.
+func TestUnguardedWorkers(t *testing.T) { runUnguardedWorkers(t, false) }
+
+// TestUnguardedWorkersChangeOwners guards against the overload of a worker that does not
+// check its capacity itself by two owners, or by one that does not know the sizes of its
+// predecessor's runs.
+func TestUnguardedWorkersChangeOwners(t *testing.T) { runUnguardedWorkers(t, true) }
+
+func runUnguardedWorkers(t *testing.T, ownersChange bool) {
+	t.Helper()
+	for n, name := range slices.Sorted(maps.Keys(faults)) {
+		if ownerFaults[name] != ownersChange {
+			continue
+		}
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newSimWorld(uint64(n), smallSite)
+			for _, s := range w.workers {
+				s.unguarded = true
+			}
+			w.addVariedTraffic(siteVariation, 1, 600*time.Millisecond, 6*time.Second, w.evenWeights())
+			faults[name](w, 2*time.Second)
+			w.run(30 * time.Second)
+			must.SliceEmpty(t, w.violations, must.Sprintf("%d: %v", len(w.violations), w.violations[:min(len(w.violations), 3)]))
+		})
+	}
+}
--- a/internal/core/scheduler/simulation_test.go
+++ b/internal/core/scheduler/simulation_test.go
@@ -153,6 +153,8 @@
 	bootedAt time.Duration
 	// clockRate is the speed of its clock; 1 is accurate.
 	clockRate float64
+	// An unguarded worker starts what doesn't fit.
+	unguarded bool
 	// A worker that is down neither responds nor runs anything, or refuses connections
 	// if its machine is up; an unreachable one doesn't respond but keeps running.
 	down, refusing, unreachable bool
@@ -296,7 +298,10 @@
 	}
 	if used+cores > s.cores {
 		s.w.noCapacityStarts++
-		return StartNoCapacity
+		if !s.unguarded {
+			return StartNoCapacity
+		}
+		s.w.recordViolation("start of %s %s overloads %s", key.task.Job, taskLabel(key.task), s.id)
 	}
 	r := &simRun{key: key, cores: cores, startedAt: s.w.now, runTime: time.Duration(float64(runTime) * s.slowdown)}
 	s.runs[key] = r
