scheduler: a run that no list shows is not reported as active

What callers could see: a task of their job runs twice at the same time.

Cause: an owner keeps a start without a response among the runs of its worker while a poll from before is answered, so that its capacity is not granted again. It also reported the progress of that run. The run's instance took it for confirmed, so that a later list without it meant that it had ended, and started the task elsewhere. A start that was delayed by seconds then took effect after all.

TestProgressOfStartsInDoubt failed before.

Change: only listed runs are reported as active. Capacity and leases count the others as before.

--- a/internal/core/scheduler/peer.go
+++ b/internal/core/scheduler/peer.go
@@ -415,6 +415,9 @@
 func (s *Scheduler) sendRunProgress(w *worker) {
 	for i := range w.foreignRuns {
 		a := &w.foreignRuns[i]
+		if !a.listed {
+			continue
+		}
 		if p := s.peersByTag[a.Run.Tag()]; p != nil && p.name != "" {
 			s.addProgress(p, RunProgress{RunRef: RunRef{w.id, a.Task, a.Run}, Percent: a.Percent, reportedAt: s.now})
 		}
--- a/internal/core/scheduler/poll.go
+++ b/internal/core/scheduler/poll.go
@@ -338,6 +338,7 @@
 	for _, f := range w.foreignRuns {
 		isListed := slices.ContainsFunc(listed, func(l foreignRun) bool { return l.Run == f.Run && l.Task == f.Task })
 		if !isListed && !f.reportedAt.Before(pollSentAt) {
+			f.listed = false
 			out = append(out, f)
 		}
 	}
@@ -351,12 +352,12 @@
 	if i := w.reservationIndex(key); i >= 0 {
 		size := w.reservations[i].size
 		w.reservations = slices.Delete(w.reservations, i, i+1)
-		return foreignRun{ActiveRun: a, size: size}
+		return foreignRun{ActiveRun: a, size: size, listed: true}
 	}
 	if i := w.foreignIndex(key); i >= 0 {
-		return foreignRun{ActiveRun: a, size: w.foreignRuns[i].size}
+		return foreignRun{ActiveRun: a, size: w.foreignRuns[i].size, listed: true}
 	}
-	return foreignRun{ActiveRun: a}
+	return foreignRun{ActiveRun: a, listed: true}
 }
 
 // removeMissingRun removes a run whose end another instance has acknowledged.
--- a/internal/core/scheduler/reservation_test.go
+++ b/internal/core/scheduler/reservation_test.go
@@ -212,3 +212,37 @@
 		})
 	}
 }
+
+// TestProgressOfStartsInDoubt guards against the report that a run is active although
+// its worker has not listed it: the run's instance would take it for confirmed, and for
+// ended once a list lacks it, while its start is still on its way.
+func TestProgressOfStartsInDoubt(t *testing.T) {
+	const run = namer.RunID(1<<20 | 2)
+	task := namer.TaskName{Job: "a"}
+	cases := map[string]struct {
+		active   []ActiveRun
+		reported bool
+	}{
+		"the worker lists the run":         {[]ActiveRun{{Task: task, Run: run, Percent: 10}}, true},
+		"the worker does not list the run": {nil, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s, now := newOwner()
+			s.Step(now, 1, []Event{reserveRequest(0, run, 9000)})
+			s.Step(now, 1, []Event{startOrder(0, run)})
+			pollSentAt := now.Add(time.Millisecond)
+			now = now.Add(40 * time.Millisecond)
+			s.Step(now, 1, []Event{StartResult{Worker: "w", Task: task, Run: run, Status: StartNoResponse}})
+			reported := false
+			poll := PollResult{Worker: "w", SentAt: pollSentAt, BootTime: 1, Clock: 1, Active: c.active}
+			actions := s.Step(now.Add(time.Millisecond), 1, []Event{poll})
+			for _, a := range append(actions, s.Step(now.Add(2*progressInterval), 1, nil)...) {
+				if m, isMessage := a.(SendMessage); isMessage && len(m.Message.Progress) > 0 {
+					reported = true
+				}
+			}
+			must.Eq(t, c.reported, reported)
+		})
+	}
+}
--- a/internal/core/scheduler/worker.go
+++ b/internal/core/scheduler/worker.go
@@ -82,6 +82,8 @@
 	ActiveRun
 	// size is what was reserved for the run; zero if unknown.
 	size Resources
+	// listed is set if the worker's last list has the run. Otherwise it may not exist.
+	listed bool
 	// reportedAt is when its instance reported the start; zero if the run is only
 	// known from the worker's list.
 	reportedAt time.Time
