scheduler: tasks that crash their workers in the pairs of faults

TestPromises gets an 18th fault: for 2 s, one job in twenty has a task that crashes each worker that starts it.

--- a/internal/core/scheduler/safety_test.go
+++ b/internal/core/scheduler/safety_test.go
@@ -106,6 +106,10 @@
 			w.at(at+3*time.Second, func() { s.slowdown = 1 })
 		}
 	},
+	"workers get tasks that crash them": func(w *simWorld, at time.Duration) {
+		w.at(at, func() { w.crashingShare = 0.05 })
+		w.at(at+2*time.Second, func() { w.crashingShare = 0 })
+	},
 	"clocks of workers are slow": func(w *simWorld, _ time.Duration) {
 		for _, s := range w.workers {
 			s.clockRate = 0.98
@@ -120,8 +124,9 @@
 
 // TestPromises simulates pairs of faults, the second starting while the first
 // lasts. It checks that no task has two runs at the same time, that no refused job
-// has run, and that all tasks of a completed job have run. Each fault is both
-// first and second in some pairs.
+// has run, that all tasks of a completed job have run, and that a task that crashes its
+// workers is not started again and again. Each fault is both first and second in some
+// pairs.
 func TestPromises(t *testing.T) {
 	names := slices.Sorted(maps.Keys(faults))
 	for a, first := range names {
@@ -147,6 +152,9 @@
 	w.run(24 * time.Second)
 	scenario := fmt.Sprintf("%q with %q, seed %d", first, second, seed)
 	must.SliceEmpty(t, w.violations, must.Sprintf("%s: %v", scenario, w.violations))
+	for _, j := range w.jobs {
+		must.LessEq(t, 3+maxStartsAfterThirdCrash, len(j.crashes), must.Sprintf("%s: crashes at %v", scenario, j.crashes))
+	}
 	w.checkIdle(t, scenario)
 }
 
--- a/internal/core/scheduler/simulation_test.go
+++ b/internal/core/scheduler/simulation_test.go
@@ -33,6 +33,8 @@
 	// delayedShare of the requests to workers are executed late and get no
 	// response; lostResponseShare are executed and their response is lost.
 	delayedShare, lostResponseShare float64
+	// crashingShare of the jobs have a task that crashes its workers.
+	crashingShare float64
 	// partitionedDomain is a domain that can't exchange messages with the others.
 	partitionedDomain namer.Domain
 	violations        []string
@@ -769,6 +771,9 @@
 	j.submittedAt, j.outcome = w.now, connectionLost
 	j.running, j.doneTasks = make(map[int]int), make(map[int]bool)
 	j.maxSubmissions, j.crashingTask = defaultMaxSubmissions, -1
+	if w.crashingShare > 0 && w.faultRand.Float64() < w.crashingShare {
+		j.crashingTask = 0
+	}
 	w.jobsByName[name] = j
 	w.jobs = append(w.jobs, j)
 	w.sendJob(j, instance)
