--- a/internal/edge/follower/follower_test.go
+++ b/internal/edge/follower/follower_test.go
@@ -141,6 +141,21 @@
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(condition), wait.Timeout(time.Minute), wait.Gap(5*time.Millisecond)))
 }
 
+// TestReadOfLongTail guards against a read of all that an outage has left, which does not
+// fit into the timeout and is started over, so that the worker list stays outdated and
+// starts go to draining workers.
+func TestReadOfLongTail(t *testing.T) {
+	store, f := newSyncedFollower(t)
+	store.SetUnavailable(true)
+	store.SetBandwidth(1 << 20)
+	for n := range 12000 {
+		store.Put(workersTopic, "i-1", workerValue("a", n))
+	}
+	store.Put(workersTopic, "i-1", workerValue("b", 1))
+	store.SetUnavailable(false)
+	f.waitForWorkers(t, map[namer.Worker]string{"i-1": "b"})
+}
+
 // TestFollowTopics checks that changes in the store are passed on, also after the
 // store has discarded records that were not read yet.
 func TestFollowTopics(t *testing.T) {
