scheduler: a run on a worker's new incarnation is no lost run

What callers could see: a job that runs well is answered as failed, or aborted.

A report that was still to be repeated could follow the one that withdrew it, and a count stayed after its retention until the next crash.

Evidence: three cases of TestCountedCrashes failed before ("the run is on the new incarnation" by a poll, by the list first, and one that has ended there).

Change: the owner keeps the runs from before the restart until the new incarnation has listed its own, and counts those that are missing. Others don't count restarts; the owner tells them. A report replaces an earlier one on the same run, and counts expire on time.

--- a/internal/core/crashcounter/table.go
+++ b/internal/core/crashcounter/table.go
@@ -36,7 +36,7 @@
 
 // Add records that a run was lost. It reports whether that is new.
 func (t *Table) Add(now time.Time, r Run) bool {
-	t.expire(now)
+	t.Expire(now)
 	if t.counts[r.Task] > 0 && slices.Contains(t.runs, r) {
 		return false
 	}
@@ -65,7 +65,8 @@
 // Runs returns the runs that were lost, the oldest first.
 func (t *Table) Runs() []Run { return slices.Clone(t.runs) }
 
-func (t *Table) expire(now time.Time) {
+// Expire removes the crashes that are too old.
+func (t *Table) Expire(now time.Time) {
 	for len(t.runs) > 0 && now.Sub(t.recordedAt[0]) > retention {
 		t.removeAt(0)
 	}
--- a/internal/core/crashcounter/table_test.go
+++ b/internal/core/crashcounter/table_test.go
@@ -22,7 +22,11 @@
 		"another task":            {func(c *Table) { c.Add(start, Run{other, 1}) }, 0},
 		"a run that was not lost": {func(c *Table) { c.Add(start, Run{task, 1}); c.Remove(Run{task, 1}) }, 0},
 		"a run that is unknown":   {func(c *Table) { c.Add(start, Run{task, 1}); c.Remove(Run{task, 2}) }, 1},
-		"a crash long ago": {func(c *Table) {
+		"a crash too long ago": {func(c *Table) {
+			c.Add(start, Run{task, 1})
+			c.Expire(start.Add(retention + time.Second))
+		}, 0},
+		"a crash before and one after it expired": {func(c *Table) {
 			c.Add(start, Run{task, 1})
 			c.Add(start.Add(retention+time.Second), Run{task, 2})
 		}, 1},
--- a/internal/core/scheduler/admission.go
+++ b/internal/core/scheduler/admission.go
@@ -235,6 +235,7 @@
 	if s.now.Sub(s.lastPeerCheck) >= peerCheckInterval {
 		s.lastPeerCheck = s.now
 		s.removeOldPeers()
+		s.crashes.Expire(s.now)
 		s.forgetLostRuns()
 	}
 	for _, j := range slices.Clone(s.openJobs) {
--- a/internal/core/scheduler/crash.go
+++ b/internal/core/scheduler/crash.go
@@ -41,13 +41,7 @@
 	if w.crashed {
 		return
 	}
-	w.crashed = true
-	s.recordLostRuns(w)
-}
-
-// recordLostRuns counts a crash of a worker for each task with a run there. A draining
-// worker may have left instead.
-func (s *Scheduler) recordLostRuns(w *worker) {
+	w.crashed, w.lostRuns = true, nil
 	lost := w.startedRuns()
 	s.emit(Decision{Event: eventer.WorkerCrashed, Worker: w.id, Tasks: len(lost), Age: s.sinceLastSeen(w)})
 	for _, r := range lost {
@@ -55,7 +49,25 @@
 	}
 }
 
-// recordLostRun counts a crash of a worker for the task of a run.
+// recordRestart counts the runs from before a worker's restart as lost, unless the new
+// incarnation lists them: they may have started there before the restart was noticed.
+func (s *Scheduler) recordRestart(w *worker, e *PollResult) {
+	for _, r := range w.runsBeforeRestart {
+		if !e.lists(r.Task, r.Run) {
+			s.recordLostRun(w, r)
+		}
+	}
+	w.runsBeforeRestart = nil
+}
+
+// lists reports whether a poll result has a run, active or ended.
+func (e *PollResult) lists(task namer.TaskName, run namer.RunID) bool {
+	return slices.ContainsFunc(e.Active, func(a ActiveRun) bool { return a.Task == task && a.Run == run }) ||
+		slices.ContainsFunc(e.Ended, func(r EndedRun) bool { return r.Task == task && r.Run == run })
+}
+
+// recordLostRun counts a crash of a worker for the task of a run. A draining worker may
+// have left instead.
 func (s *Scheduler) recordLostRun(w *worker, r RunRef) {
 	if w.draining {
 		return
@@ -160,12 +172,14 @@
 // crash is due to.
 func (s *Scheduler) isIsolated(t namer.TaskName) bool { return s.crashes.Count(t) > 0 }
 
-// reportCrash sends a report to the owners of workers and to the instance of the run.
+// reportCrash sends a report to the owners of workers and to the instance of the run. It
+// replaces an earlier one on the same run.
 func (s *Scheduler) reportCrash(report CrashReport) {
 	if p := s.peersByTag[report.Run.Tag()]; p != nil && p.name != "" && !p.isOwner {
 		out := s.outboxOf(p)
 		out.Crashes = append(out.Crashes, report)
 	}
+	s.crashReports = slices.DeleteFunc(s.crashReports, func(r crashReport) bool { return r.RunRef == report.RunRef })
 	s.crashReports = append(s.crashReports, crashReport{CrashReport: report, sendsLeft: crashReportSends, nextAt: s.now})
 }
 
--- a/internal/core/scheduler/crash_test.go
+++ b/internal/core/scheduler/crash_test.go
@@ -221,6 +221,9 @@
 	}
 	accepted := startResult(StartAccepted)
 	listed := []ActiveRun{{Task: namer.TaskName{Job: "a"}, Run: 100}}
+	restarted := WorkerListUpdated{Workers: []WorkerInfo{{
+		ID: "w", Service: "s", Domain: "d0", Capacity: Resources{Cores: 16000, Memory: 1 << 20}, BootTime: 2,
+	}}}
 	draining := WorkerListUpdated{Workers: []WorkerInfo{{
 		ID: "w", Service: "s", Domain: "d0", Draining: true, Capacity: Resources{Cores: 16000, Memory: 1 << 20}, BootTime: 1,
 	}}}
@@ -233,11 +236,19 @@
 		"the worker responds again":         {[]Event{accepted, refused, PollResult{Worker: "w", BootTime: 1, Clock: 2, Active: listed}}, 0},
 		"the worker has restarted":          {[]Event{accepted, PollResult{Worker: "w", BootTime: 2, Clock: 1}}, 1},
 		"it refuses, then it has restarted": {[]Event{accepted, refused, PollResult{Worker: "w", BootTime: 2, Clock: 1}}, 1},
-		"the worker has left":               {[]Event{accepted, draining, refused}, 0},
-		"the start got no response":         {[]Event{startResult(StartNoResponse), refused}, 1},
-		"the start gets no response":        {[]Event{refused, startResult(StartNoResponse)}, 1},
-		"the start reached no worker":       {[]Event{startResult(StartNotSent), refused}, 0},
-		"the start reaches no worker":       {[]Event{refused, startResult(StartNotSent)}, 0},
+		"the list shows the restart first":  {[]Event{accepted, restarted, PollResult{Worker: "w", BootTime: 2, Clock: 1}}, 1},
+		"the run is on the new incarnation": {[]Event{accepted, PollResult{Worker: "w", BootTime: 2, Clock: 1, Active: listed}}, 0},
+		"the run is on the new incarnation, the list shows it first": {[]Event{
+			accepted, restarted, PollResult{Worker: "w", BootTime: 2, Clock: 1, Active: listed},
+		}, 0},
+		"the run has ended on the new incarnation": {[]Event{
+			accepted, PollResult{Worker: "w", BootTime: 2, Clock: 1, Ended: []EndedRun{{Sequence: 1, Task: listed[0].Task, Run: 100}}},
+		}, 0},
+		"the worker has left":         {[]Event{accepted, draining, refused}, 0},
+		"the start got no response":   {[]Event{startResult(StartNoResponse), refused}, 1},
+		"the start gets no response":  {[]Event{refused, startResult(StartNoResponse)}, 1},
+		"the start reached no worker": {[]Event{startResult(StartNotSent), refused}, 0},
+		"the start reaches no worker": {[]Event{refused, startResult(StartNotSent)}, 0},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/core/scheduler/poll.go
+++ b/internal/core/scheduler/poll.go
@@ -120,6 +120,7 @@
 	}
 	w.lastSeen, w.suspected, w.crashed, w.failedPolls, w.runsListed = s.now, false, false, 0, true
 	w.setClock(s.now, e.Clock)
+	s.recordRestart(w, &e)
 	hasNewEnd := s.handleEndedRuns(w, e)
 	s.handleActiveRuns(w, e, isTracked)
 	if e.OutOfBand {
--- a/internal/core/scheduler/worker.go
+++ b/internal/core/scheduler/worker.go
@@ -59,8 +59,11 @@
 	suspected bool
 	// crashed is set while the worker's address refuses connections. lostRuns are the
 	// runs that were counted as lost then.
-	crashed             bool
-	lostRuns            []RunRef
+	crashed  bool
+	lostRuns []RunRef
+	// runsBeforeRestart are the runs that were known when the worker turned out to have
+	// restarted, until the new incarnation has listed its runs.
+	runsBeforeRestart   []RunRef
 	consecutiveFailures int
 	// breakerTrips counts how often the breaker has opened since the last
 	// success. While it is positive, the worker gets one run at a time.
@@ -250,8 +253,8 @@
 	if first && !w.runsListed {
 		return
 	}
-	if !w.crashed {
-		s.recordLostRuns(w)
+	if w.owned && !w.crashed {
+		w.runsBeforeRestart = w.startedRuns()
 	}
 	s.emit(Decision{Event: eventer.WorkerRestarted, Worker: w.id})
 	w.crashed, w.lostRuns = false, nil
