dispatcher: a restarted worker can't tell that it has not started a task

What callers saw, on the product's own interface: a task that crashes its worker was started on one worker after the other, without end, and its job was never answered; a task that was under way on a worker that restarted was started again, though no task of a submission may start twice.

Cause: after a lost answer the worker is asked which tasks it has started under a lease. One that has restarted has forgotten the lease and its tasks, and "not started" was believed.

Change: a worker says that it does not know a lease that it is asked to end. What it says of tasks that it has not started is then no proof: the task is unknown and its job fails, with "worker has forgotten the lease" in the log. The same holds for tasks that were seen running before.

--- a/internal/core/dispatcher/event.go
+++ b/internal/core/dispatcher/event.go
@@ -159,6 +159,9 @@
 type FenceAnswered struct {
 	FenceID FenceID
 	Tasks   []FencedTask
+	// LeaseUnknown is set if the worker does not know the fenced lease, as after a
+	// restart. It then can't tell that it has not started a task.
+	LeaseUnknown bool
 }
 
 // FenceFailed reports that a worker did not answer a fence.
--- a/internal/core/dispatcher/fault_matrix_test.go
+++ b/internal/core/dispatcher/fault_matrix_test.go
@@ -123,6 +123,17 @@
 				w.Faults.Unreachable = true
 			}
 		}, false},
+		"workers restart": {func(s *sim, _ nodeRoles) {
+			for _, w := range s.workers[:2] {
+				w.Restart()
+			}
+		}, false},
+		"workers restart, owner dies": {func(s *sim, roles nodeRoles) {
+			for _, w := range s.workers[:2] {
+				w.Restart()
+			}
+			s.killNode(roles.owner)
+		}, false},
 		"workers die, owner dies": {func(s *sim, roles nodeRoles) {
 			for _, w := range s.workers[:2] {
 				w.Faults.Unreachable = true
--- a/internal/core/dispatcher/fence.go
+++ b/internal/core/dispatcher/fence.go
@@ -98,7 +98,7 @@
 	for _, task := range fence.tasks {
 		r, t := n.findTask(task)
 		if t != nil && t.State == tracker.TaskUncertain && t.Worker == fence.worker {
-			n.markTaskLost(r, task.Index, t)
+			n.markTaskLost(r, task.Index, t, "worker does not answer")
 		}
 	}
 }
@@ -113,12 +113,12 @@
 
 // markTaskLost records that it cannot be determined whether a task has run, and
 // fails its job.
-func (n *Node) markTaskLost(r *tracker.Record, index int, t *tracker.Task) {
+func (n *Node) markTaskLost(r *tracker.Record, index int, t *tracker.Task, reason string) {
 	n.markStartAccounted(r, index, t)
 	t.State = tracker.TaskLost
 	r.OpenTasks--
 	n.placer.ReleaseTask(t.Worker, n.taskResources(r, index))
-	n.logDecision(eventer.TaskUnknown, r.ID, index, string(t.Worker), "worker does not answer")
+	n.logDecision(eventer.TaskUnknown, r.ID, index, string(t.Worker), reason)
 	n.finishSubmission(r, coder.Answer{Status: coder.StatusFailed, Code: coder.CodeTaskUnknown, Detail: "a task's worker was lost"})
 }
 
@@ -141,6 +141,10 @@
 		if t == nil || t.State != tracker.TaskUncertain || t.Worker != fence.worker {
 			continue
 		}
+		if !report.Started && (e.LeaseUnknown || fence.lease == "") {
+			n.markTaskLost(r, report.Task.Index, t, "worker has forgotten the lease")
+			continue
+		}
 		if n.resolveUncertainTask(r, t, report) {
 			running = append(running, report.Task)
 		}
--- a/internal/core/dispatcher/scenario_test.go
+++ b/internal/core/dispatcher/scenario_test.go
@@ -203,3 +203,19 @@
 	must.Eq(t, namer.Revision(1), n.core.state.Config().Revision)
 	must.Eq(t, simDomain, n.core.state.InitialDomains()[0])
 }
+
+// TestRestartedWorkerHasForgotten guards against a task that is started again because a
+// worker that has crashed under it says, after its restart, that it has not seen it. Such
+// a task would crash worker after worker.
+func TestRestartedWorkerHasForgotten(t *testing.T) {
+	s := newSim(t, 2, 1, ModeReplicate)
+	w := s.newWork("a job", 3, false)
+	owner, _ := s.ownerAndSuccessorOf(w.Submission)
+	s.crashingTask = &namer.Task{ID: w.Submission.ID(), Index: 1}
+	call := s.makeCall(owner, coder.OpSubmit, w)
+	s.advanceTime(20 * time.Second)
+	must.Eq(t, 1, s.startCounts[*s.crashingTask])
+	must.Eq(t, coder.StatusFailed, call.answers[0].Status)
+	must.Eq(t, coder.CodeTaskUnknown, call.answers[0].Code)
+	s.checkInvariants()
+}
--- a/internal/core/dispatcher/sim_test.go
+++ b/internal/core/dispatcher/sim_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -64,6 +65,8 @@
 	// loseAppends drops appends to the log, and loseStartAnswers the workers'
 	// answers to starts.
 	loseAppends, loseStartAnswers bool
+	// crashingTask crashes each worker that starts it; it is nil if there is none.
+	crashingTask *namer.Task
 	// fencesBlockedFrom is one plus the index of the node whose fences do not
 	// reach the workers; zero for none.
 	fencesBlockedFrom int
@@ -556,6 +559,12 @@
 		return
 	}
 	s.reportStep("start arrives", n)
+	if s.crashingTask != nil && slices.Contains(noResponse.Tasks, *s.crashingTask) {
+		s.startCounts[*s.crashingTask]++
+		w.Restart()
+		s.schedule(simLinkDelay, func() { s.deliverToCore(n, core, noResponse) })
+		return
+	}
 	e := StartAnswered{Worker: a.Worker, Lease: a.Lease}
 	for i, result := range w.StartTasks(s.now, string(a.Lease), body) {
 		status := StartLeaseExpired
@@ -593,7 +602,7 @@
 		s.schedule(100*simLinkDelay, func() { s.deliverToCore(n, core, FenceFailed{FenceID: a.FenceID}) })
 		return
 	}
-	e := FenceAnswered{FenceID: a.FenceID}
+	e := FenceAnswered{FenceID: a.FenceID, LeaseUnknown: a.Lease != "" && !w.KnowsLease(string(a.Lease))}
 	for _, state := range w.FenceLeases(s.now, string(a.Holder), string(a.Lease), keysOf(a.Tasks)) {
 		e.Tasks = append(e.Tasks, FencedTask{
 			Task: taskOf(state.TaskKey), Started: state.Started, Running: state.Running, Killed: state.Killed, OK: state.OK, Output: state.Output,
--- a/internal/edge/runner/actions.go
+++ b/internal/edge/runner/actions.go
@@ -203,7 +203,7 @@
 		r.pushEvent(dispatcher.FenceFailed{FenceID: a.FenceID})
 		return
 	}
-	e := dispatcher.FenceAnswered{FenceID: a.FenceID}
+	e := dispatcher.FenceAnswered{FenceID: a.FenceID, LeaseUnknown: answer.Unknown}
 	for _, s := range answer.Tasks {
 		e.Tasks = append(e.Tasks, dispatcher.FencedTask{
 			Task: taskFromKey(s.TaskKey), Started: s.Started, Running: s.Running, Killed: s.Killed, OK: s.OK, Output: s.Output,
--- a/internal/standin/emulator/host.go
+++ b/internal/standin/emulator/host.go
@@ -178,10 +178,11 @@
 		return
 	}
 	h.mu.Lock()
+	unknown := body.Lease != "" && !h.worker.KnowsLease(body.Lease)
 	states := h.worker.FenceLeases(time.Now(), body.Holder, body.Lease, body.Tasks)
 	h.signalChange()
 	h.mu.Unlock()
-	encodeBody(rw, describer.FenceAnswer{Tasks: states})
+	encodeBody(rw, describer.FenceAnswer{Tasks: states, Unknown: unknown})
 }
 
 func (h *workerHost) serveAdopt(rw http.ResponseWriter, r *http.Request) {
--- a/internal/standin/emulator/worker.go
+++ b/internal/standin/emulator/worker.go
@@ -100,6 +100,15 @@
 	}
 }
 
+// Restart ends the worker and starts it again under the same name. It has forgotten its
+// leases and tasks.
+func (w *Worker) Restart() {
+	w.free = w.Capacity
+	w.leases = make(map[string]*workerLease)
+	w.tasks = make(map[describer.TaskKey]*workerTask)
+	w.running = make(map[describer.TaskKey]*workerTask)
+}
+
 // FreeCapacity returns the capacity that no running task uses.
 func (w *Worker) FreeCapacity() describer.Room { return w.free }
 
@@ -288,6 +297,9 @@
 	return states
 }
 
+// KnowsLease reports whether the worker has granted a lease since its start.
+func (w *Worker) KnowsLease(lease string) bool { return w.leases[lease] != nil }
+
 // taskState returns the state of a task, also of one that was never started here.
 func (w *Worker) taskState(key describer.TaskKey) describer.TaskState {
 	t, found := w.tasks[key]
--- a/internal/wire/describer/platform.go
+++ b/internal/wire/describer/platform.go
@@ -189,6 +189,9 @@
 // FenceAnswer is the response to a FenceBody, with the state of each task.
 type FenceAnswer struct {
 	Tasks []TaskState `json:"tasks"`
+	// Unknown is set if the worker does not know the lease, as after a restart. It then
+	// does not know either which tasks it has started under it.
+	Unknown bool `json:"unknown,omitempty"`
 }
 
 // TasksBody is the request body that lists tasks to adopt under a lease, or to
