--- a/internal/core/scheduler/crash_test.go
+++ b/internal/core/scheduler/crash_test.go
@@ -282,6 +282,17 @@
 	must.GreaterEq(t, 2, len(told))
 }
 
+// startOwnJob submits a job of one task to an owner, whose worker accepts its start.
+func startOwnJob(t *testing.T, s *Scheduler, now time.Time, objective, callerTimeout time.Duration) {
+	t.Helper()
+	starts := startsOf(s.Step(now, 1, []Event{JobSubmitted{Call: 1, Job: JobSpec{
+		Name: "b", Kind: "short", Service: "s", MaxAttempts: 2, ObjectiveFactor: 1, ObjectiveBase: objective,
+		CallerTimeout: callerTimeout, Steps: []StepSpec{{Count: 1, Size: Resources{Cores: 8000}, EstimatedRunTime: 60 * time.Millisecond}},
+	}}}))
+	must.Len(t, 1, starts)
+	s.Step(now, 1, []Event{StartResult{Worker: "w", Task: starts[0].Task, Run: starts[0].Run, Status: StartAccepted, Clock: 1}})
+}
+
 // TestLostRunEndsJob guards against a caller who waits for the answer of a crashed
 // worker until its job can no longer end in time.
 func TestLostRunEndsJob(t *testing.T) {
@@ -295,12 +306,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			s, now := newOwner()
-			starts := startsOf(s.Step(now, 1, []Event{JobSubmitted{Call: 1, Job: JobSpec{
-				Name: "b", Kind: "short", Service: "s", MaxAttempts: 2, ObjectiveFactor: 1, ObjectiveBase: c.objective,
-				CallerTimeout: time.Minute, Steps: []StepSpec{{Count: 1, Size: Resources{Cores: 8000}, EstimatedRunTime: 60 * time.Millisecond}},
-			}}}))
-			must.Len(t, 1, starts)
-			s.Step(now, 1, []Event{StartResult{Worker: "w", Task: starts[0].Task, Run: starts[0].Run, Status: StartAccepted, Clock: 1}})
+			startOwnJob(t, s, now, c.objective, time.Minute)
 			actions := s.Step(now.Add(20*time.Millisecond), 1, []Event{PollResult{Worker: "w", NoResponse: true, Refused: true}})
 			var got []Outcome
 			for _, a := range append(actions, s.Step(now.Add(20*time.Millisecond+deadlineCheckInterval), 1, nil)...) {
@@ -328,12 +334,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			s, now := newOwner()
-			starts := startsOf(s.Step(now, 1, []Event{JobSubmitted{Call: 1, Job: JobSpec{
-				Name: "b", Kind: "short", Service: "s", MaxAttempts: 2, ObjectiveFactor: 1, ObjectiveBase: time.Second,
-				CallerTimeout: time.Second, Steps: []StepSpec{{Count: 1, Size: Resources{Cores: 8000}, EstimatedRunTime: 60 * time.Millisecond}},
-			}}}))
-			must.Len(t, 1, starts)
-			s.Step(now, 1, []Event{StartResult{Worker: "w", Task: starts[0].Task, Run: starts[0].Run, Status: StartAccepted, Clock: 1}})
+			startOwnJob(t, s, now, time.Second, time.Second)
 			if c.list != nil {
 				s.Step(now, 1, []Event{*c.list})
 			}
