--- a/internal/core/scheduler/crash_test.go
+++ b/internal/core/scheduler/crash_test.go
@@ -61,6 +61,9 @@
 // instance that may have counted them.
 const maxCoincidences = 3
 
+// unevenSite has instances that own no workers, and count no crashes.
+var unevenSite = siteSize{domains: 3, instancesPerDomain: 5, workersPerDomain: 24, strongPerDomain: 2}
+
 // TestCrashingTaskStartsAreBounded guards against a task that crashes worker after
 // worker, because nothing counts the crashes or the count is lost with an instance.
 func TestCrashingTaskStartsAreBounded(t *testing.T) {
@@ -94,15 +97,16 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(4) {
-				runCrashScenario(t, seed, c)
+				runCrashScenario(t, seed, smallSite, c)
 			}
+			runCrashScenario(t, 0, unevenSite, c)
 		})
 	}
 }
 
-func runCrashScenario(t *testing.T, seed uint64, c crashScenario) {
+func runCrashScenario(t *testing.T, seed uint64, site siteSize, c crashScenario) {
 	t.Helper()
-	w := newSimWorld(seed, smallSite)
+	w := newSimWorld(seed, site)
 	w.addMixedTraffic(0.5, 600*time.Millisecond, 20*time.Second, w.evenWeights())
 	var crashing []*simJob
 	for n := range 4 {
