--- a/review/harness/cancel.go
+++ b/review/harness/cancel.go
@@ -16,7 +16,7 @@
 // being started.
 func cancel(e *environment) ([]string, error) {
 	const cancelTime, stopSlack = 3000 * time.Millisecond, 50 * time.Millisecond
-	nodes, _, err := e.start([]string{"north"}, 2, 4, oneKind)
+	nodes, _, err := e.start([]string{"north"}, 2, 4)
 	if err != nil {
 		return nil, err
 	}
--- a/review/harness/drain.go
+++ b/review/harness/drain.go
@@ -15,7 +15,7 @@
 // only now.
 func drain(e *environment) ([]string, error) {
 	const drainTime = 2000 * time.Millisecond
-	nodes, places, err := e.start([]string{"north"}, 2, 16, oneKind)
+	nodes, places, err := e.start([]string{"north"}, 2, 16)
 	if err != nil {
 		return nil, err
 	}
--- a/review/harness/minion.go
+++ b/review/harness/minion.go
@@ -49,6 +49,8 @@
 	endCount int64
 	changed  chan struct{}
 	dead     bool
+	// intercept is nil unless orders are intercepted.
+	intercept func(*http.Request, *order) bool
 }
 
 type activeRun struct {
@@ -115,6 +117,26 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	m.mu.Lock()
+	intercept := m.intercept
+	m.mu.Unlock()
+	if intercept != nil && intercept(r, &o) {
+		<-r.Context().Done()
+		return
+	}
+	m.perform(w, r, &o)
+}
+
+// setInterceptor sets a function that sees each order first. One that it takes gets no
+// answer.
+func (m *minion) setInterceptor(f func(*http.Request, *order) bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.intercept = f
+}
+
+// perform carries out an order.
+func (m *minion) perform(w http.ResponseWriter, r *http.Request, o *order) {
 	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != m.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -129,11 +151,11 @@
 	}
 	switch r.URL.Path {
 	case "/heatherslip/run-start":
-		m.start(w, &o)
+		m.start(w, o)
 	case "/heatherslip/run-stop":
-		m.stop(w, &o)
+		m.stop(w, o)
 	case "/heatherslip/hold":
-		m.look(w, r, &o)
+		m.look(w, r, o)
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
--- a/review/harness/overlap.go
+++ b/review/harness/overlap.go
@@ -17,7 +17,7 @@
 // keeps up the leases of the other machine's runs. Their client has had no answer and
 // hands its job in again elsewhere.
 func overlap(e *environment) ([]string, error) {
-	nodes, _, err := e.start([]string{"north", "south"}, 2, 6, oneKind)
+	nodes, _, err := e.start([]string{"north", "south"}, 2, 6)
 	if err != nil {
 		return nil, err
 	}
--- a/review/harness/scenarios.go
+++ b/review/harness/scenarios.go
@@ -22,13 +22,13 @@
 var minionSize = size{Cpu: 16000, MemMb: 32768}
 
 // start starts the minions and machines of each zone, and waits until all machines are
-// ready. zones gives the number of machines and minions of each.
-func (e *environment) start(zones []string, machines, minions int, kinds func(n int) string) ([]*node, []*place, error) {
+// ready. machines and minions are the numbers of each in a zone.
+func (e *environment) start(zones []string, machines, minions int) ([]*node, []*place, error) {
 	e.site.publish(prefix, routeTimeout)
 	var places []*place
 	for z, zone := range zones {
 		for n := range minions {
-			p, err := e.site.addMinion(fmt.Sprintf("i-%s-%d", zone, n), kinds(n), zone, fmt.Sprintf("r%d-%d", z, n/3), minionSize)
+			p, err := e.site.addMinion(fmt.Sprintf("i-%s-%d", zone, n), "a", zone, fmt.Sprintf("r%d-%d", z, n/3), minionSize)
 			if err != nil {
 				return nil, nil, err
 			}
@@ -54,8 +54,6 @@
 	return nodes, places, nil
 }
 
-func oneKind(int) string { return "a" }
-
 // press submits a job of one step at a machine at regular intervals until done is closed. Its
 // tasks take the given time, a quarter more or less.
 func (e *environment) press(n *node, interval time.Duration, s step, ms int, done <-chan struct{}) {
--- a/review/harness/site.go
+++ b/review/harness/site.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -171,19 +172,56 @@
 }
 
 // restart starts a minion again under its id and at its address.
-func (s *site) restart(p *place, kind string) error {
+func (s *site) restart(p *place) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	m, err := newMinion(p.minion.id, kind, p.minion.address, p.minion.capacity, s.record)
+	m, err := newMinion(p.minion.id, p.minion.kind, p.minion.address, p.minion.capacity, s.record)
 	if err != nil {
 		return err
 	}
 	p.minion, p.sequence = m, 0
-	s.record.note("minion %s has started again, with kind %s", m.id, kind)
+	s.record.note("minion %s has started again", m.id)
 	s.beat(p)
 	return nil
 }
 
+// holdUpStart lets the first start of a job go without an answer and be carried out after a
+// time, by what is there then under the minion's address. held gets the minion's place.
+func (s *site) holdUpStart(jobID string, after time.Duration, held chan<- *place) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var once sync.Once
+	for _, p := range s.places {
+		p.minion.setInterceptor(func(r *http.Request, o *order) bool {
+			taken := false
+			if r.URL.Path == "/heatherslip/run-start" && jobOf(o.Task) == jobID {
+				once.Do(func() { taken = true })
+			}
+			if !taken {
+				return false
+			}
+			s.record.note("the start of task %s run %d on %s gets no answer, and will be carried out in %s", o.Task, o.Run, p.minion.id, seconds(after))
+			later := r.Clone(context.Background())
+			time.AfterFunc(after, func() {
+				s.mu.Lock()
+				m := p.minion
+				s.mu.Unlock()
+				s.record.note("the start of task %s run %d is carried out on %s", o.Task, o.Run, m.id)
+				m.perform(discard{make(http.Header)}, later, o)
+			})
+			held <- p
+			return true
+		})
+	}
+}
+
+// discard is a response that nobody gets.
+type discard struct{ header http.Header }
+
+func (d discard) Header() http.Header       { return d.header }
+func (discard) Write(b []byte) (int, error) { return len(b), nil }
+func (discard) WriteHeader(int)             {}
+
 // publish writes a configuration with one queue.
 func (s *site) publish(prefix string, timeout time.Duration) {
 	value, err := json.Marshal(map[string]any{
--- a/review/harness/spread.go
+++ b/review/harness/spread.go
@@ -14,7 +14,7 @@
 // telling it.
 func spread(e *environment) ([]string, error) {
 	const limit = 1
-	nodes, places, err := e.start([]string{"north"}, 1, 8, oneKind)
+	nodes, places, err := e.start([]string{"north"}, 1, 8)
 	if err != nil {
 		return nil, err
 	}
