--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -31,7 +31,8 @@
 	nodes   []*node
 
 	mu sync.Mutex
-	// owners has the machine that has taken each minion over last, as the logs say.
+	// owners has, for each minion, the machine that has reserved room there last, as the
+	// logs say. Only a minion's owner does so.
 	owners map[string]*node
 }
 
@@ -137,7 +138,7 @@
 	for lines.Scan() {
 		_, _ = log.Write(append(append([]byte{}, lines.Bytes()...), '\n'))
 		var entry struct{ Message, Worker string }
-		if json.Unmarshal(lines.Bytes(), &entry) != nil || entry.Message != "worker taken" {
+		if json.Unmarshal(lines.Bytes(), &entry) != nil || entry.Message != "capacity reserved" {
 			continue
 		}
 		f.mu.Lock()
@@ -146,7 +147,7 @@
 	}
 }
 
-// ownerOf returns the machine that has taken a minion over last.
+// ownerOf returns the machine that has reserved room on a minion last.
 func (f *fleet) ownerOf(minion string) *node {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/review/harness/overlap.go
+++ b/review/harness/overlap.go
@@ -17,11 +17,11 @@
 // keeps up the leases of the other machine's runs. Their client has had no answer and
 // hands its job in again elsewhere.
 func overlap(e *environment) ([]string, error) {
-	nodes, _, err := e.start([]string{"north", "south"}, 2, 6)
+	nodes, _, err := e.start([]string{"south", "north", "west"}, 2, 6)
 	if err != nil {
 		return nil, err
 	}
-	owners, caller, other := nodes[:2], nodes[2], nodes[3]
+	caller, other, owners := nodes[0], nodes[1], nodes[2:]
 	var wg sync.WaitGroup
 	submit := func(at *node, ms int) {
 		wg.Add(1)
@@ -31,7 +31,7 @@
 			c.submitUntilAnswered(at, other, prefix, newJob(ms, step{Count: 2, Cpu: taskCpu, MemMb: taskMem, EstimateMs: 1100}))
 		}()
 	}
-	// These fill the minions of the caller's zone, so that its jobs run in the other one.
+	// These fill the minions of the caller's zone, so that its jobs run in other ones.
 	for range 6 {
 		submit(other, 1200)
 	}
--- a/review/harness/shutdown.go
+++ b/review/harness/shutdown.go
@@ -17,7 +17,7 @@
 // connection without an answer.
 func shutdown(e *environment) ([]string, error) {
 	const grace = 6 * time.Second
-	nodes, _, err := e.start([]string{"north"}, 2, 4)
+	nodes, _, err := e.start([]string{"north"}, 3, 4)
 	if err != nil {
 		return nil, err
 	}
