--- a/review/harness/revival.go
+++ b/review/harness/revival.go
@@ -16,7 +16,8 @@
 // out.
 func revival(e *environment) ([]string, error) {
 	const (
-		longMs = 3400
+		longMs             = 3400
+		others, otherPause = 24, 30 * time.Millisecond
 		// late is after how long the order is carried out, crashAfter and darkFor when its
 		// minion crashes and for how long it is down.
 		late       = 3 * time.Second
@@ -52,6 +53,15 @@
 	submit(one(25))
 	submit(one(longMs))
 	submit(last)
+	// Other starts, of which the late one is a small share.
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		for range others {
+			time.Sleep(otherPause)
+			c.submit(nodes[1], prefix, one(60))
+		}
+	}()
 	if e.trouble {
 		var p *place
 		select {
