scheduler: messages carry when they were sent, runs that outlive their instance are logged

What operators saw: a task with two runs at once, and logs that could not say whose run it was or why it was still alive. A line names a run by its number, whose low bits are the run tag of its instance, but no line says which tag that is; owners date the heartbeats of a peer when they handle them, so that a late one can't be told from news.

New events: messages late (546), run outlives instance (547), run tag changed (548); the line started has the run tag.

--- a/internal/core/registrar/heartbeat.go
+++ b/internal/core/registrar/heartbeat.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/heatherslip/heatherslip/internal/core/balancer"
+	"github.com/heatherslip/heatherslip/internal/core/dater"
 	"github.com/heatherslip/heatherslip/internal/wire/namer"
 )
 
@@ -14,9 +15,11 @@
 	// Name identifies one incarnation of the instance. It is set on receipt.
 	Name string `cbor:"-"`
 	// SourceAddr is the address that the heartbeat came from. It is set on receipt.
-	SourceAddr netip.Addr   `cbor:"-"`
-	Domain     namer.Domain `cbor:"1,keyasint"`
-	RunTag     namer.RunTag `cbor:"2,keyasint"`
+	SourceAddr netip.Addr `cbor:"-"`
+	// SentAt is the sender's clock when the heartbeat was sent. It is set on receipt.
+	SentAt dater.Reading `cbor:"-"`
+	Domain namer.Domain  `cbor:"1,keyasint"`
+	RunTag namer.RunTag  `cbor:"2,keyasint"`
 	// ConfigOffset is the offset after the last change of the configuration or of the
 	// evacuations, and WorkerListOffset that after the last change of the worker list;
 	// zero if there is none. Both are set when the heartbeat is sent.
--- a/internal/core/scheduler/event.go
+++ b/internal/core/scheduler/event.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/heatherslip/heatherslip/internal/core/dater"
 	"github.com/heatherslip/heatherslip/internal/core/registrar"
 	"github.com/heatherslip/heatherslip/internal/wire/namer"
 )
@@ -176,7 +177,9 @@
 	From string
 	// SourceAddr is the address that the message came from.
 	SourceAddr netip.Addr
-	Message    PeerMessage
+	// SentAt is the sender's clock when the message was sent.
+	SentAt  dater.Reading
+	Message PeerMessage
 }
 
 // SeedsAdded carries further addresses of instances, which may be down.
--- a/internal/core/scheduler/peer.go
+++ b/internal/core/scheduler/peer.go
@@ -5,8 +5,10 @@
 	"time"
 
 	"github.com/heatherslip/heatherslip/internal/core/balancer"
+	"github.com/heatherslip/heatherslip/internal/core/dater"
 	"github.com/heatherslip/heatherslip/internal/core/hasher"
 	"github.com/heatherslip/heatherslip/internal/core/registrar"
+	"github.com/heatherslip/heatherslip/internal/wire/eventer"
 	"github.com/heatherslip/heatherslip/internal/wire/namer"
 )
 
@@ -29,6 +31,12 @@
 	// lastSeen is when a message or heartbeat of the peer arrived last, or when a
 	// worker first listed its newest run; zero if never.
 	lastSeen time.Time
+	// dater dates the peer's messages. aliveAt is when the newest of them was sent; zero if
+	// there was none.
+	dater   *dater.Dater
+	aliveAt time.Time
+	// lateLoggedAt is when a late message of the peer was last logged.
+	lateLoggedAt time.Time
 	// replaced is set once another incarnation runs at the peer's address.
 	replaced bool
 	// listedAt is when a worker first listed a run of the peer.
@@ -63,13 +71,17 @@
 	// left out.
 	maxAdvertisedWorkers = 48
 	advertisedShare      = 16
+	// lateMessage is the delay from which on a message counts as late, and lateLogInterval
+	// the least time between two log lines on late messages of a peer.
+	lateMessage     = 100 * time.Millisecond
+	lateLogInterval = time.Second
 )
 
 // peerNamed returns the entry of a peer, which it creates if needed.
 func (s *Scheduler) peerNamed(name string) *peer {
 	p := s.peers[name]
 	if p == nil {
-		p = &peer{name: name, nameHash: hasher.String(name)}
+		p = &peer{name: name, nameHash: hasher.String(name), dater: dater.New()}
 		s.peers[name] = p
 	}
 	return p
@@ -122,6 +134,7 @@
 		s.sendAllCrashes(p)
 	}
 	p.lastSeen = s.now
+	s.recordSignOfLife(p, h.SentAt)
 	s.setPeerState(p, h.Domain, h.RunTag, h.FreeCores)
 	s.setPeerLoad(p, h.Load)
 	p.advertisedAt, p.advertisedFor = s.now, max(ownerTimeout, time.Duration(advertisedIntervals*float64(h.Interval)))
@@ -130,6 +143,21 @@
 	}
 }
 
+// recordSignOfLife records that a message of a peer has arrived, by the time at which it
+// was sent.
+func (s *Scheduler) recordSignOfLife(p *peer, sentAt dater.Reading) {
+	date := p.dater.Date(sentAt, s.handledUntil, s.now)
+	if date.After(p.aliveAt) {
+		p.aliveAt = date
+	}
+	delay := s.now.Sub(date)
+	if delay < lateMessage || s.now.Sub(p.lateLoggedAt) < lateLogInterval {
+		return
+	}
+	p.lateLoggedAt = s.now
+	s.emit(Decision{Event: eventer.MessagesLate, Peer: p.name, Age: delay})
+}
+
 // handleOwnerSummary processes the relayed state of an owner. It is no sign of life as
 // far as the owner's runs are concerned.
 func (s *Scheduler) handleOwnerSummary(o *registrar.OwnerSummary) {
@@ -261,6 +289,28 @@
 	}
 }
 
+// reportOutlivingRuns logs the listed runs on a worker whose leases should have ended,
+// since their instances are silent, each once.
+func (s *Scheduler) reportOutlivingRuns(w *worker) {
+	for i := range w.foreignRuns {
+		f := &w.foreignRuns[i]
+		p := s.peersByTag[f.Run.Tag()]
+		if !f.listed || f.outlives || p == nil {
+			continue
+		}
+		aliveAt := p.aliveAt
+		if aliveAt.IsZero() {
+			aliveAt = p.listedAt
+		}
+		silence := s.now.Sub(aliveAt)
+		if silence < peerTimeout+scale(s.leaseTime, maxClockDrift)+leaseMargin {
+			continue
+		}
+		f.outlives = true
+		s.emit(Decision{Event: eventer.RunOutlivesInstance, Job: f.Task.Job, Task: taskLabel(f.Task), Run: f.Run, Worker: w.id, Peer: p.name, Age: silence})
+	}
+}
+
 func (s *Scheduler) removeOldPeers() {
 	isOld := func(p *peer) bool {
 		return !p.isOwner && s.now.Sub(p.lastSeen) > peerRetention && s.now.Sub(p.advertisedAt) > peerRetention && s.now.Sub(p.listedAt) > peerRetention
@@ -352,6 +402,7 @@
 	s.registrar.HandleMessage(e.From, e.SourceAddr)
 	p := s.peerNamed(e.From)
 	p.lastSeen = s.now
+	s.recordSignOfLife(p, e.SentAt)
 	for i := range e.Message.ReserveRequests {
 		s.handleReserveRequest(p, &e.Message.ReserveRequests[i])
 	}
--- a/internal/core/scheduler/poll.go
+++ b/internal/core/scheduler/poll.go
@@ -345,6 +345,7 @@
 	s.stopInDoubtRuns(w, e)
 	if w.owned {
 		s.observeActiveRuns(w)
+		s.reportOutlivingRuns(w)
 		s.stopForeignRuns(w)
 		s.sendRunProgress(w)
 		s.requestSizes(w)
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -141,6 +141,8 @@
 	// stateUpdatedAt is when the registrar was last given this instance's state.
 	stateUpdatedAt time.Time
 	steppedAt      time.Time
+	// handledUntil is a time up to which all messages that had arrived were handled.
+	handledUntil time.Time
 	// resumedAt is when the last pause of this instance ended; zero if there was none.
 	resumedAt time.Time
 	// startLatency is the smoothed response time of start requests.
@@ -269,7 +271,12 @@
 func (s *Scheduler) Step(now time.Time, wall namer.UnixMillis, events []Event) []Action {
 	s.now = now
 	s.lastRunCount = max(s.lastRunCount, runCountAt(wall))
-	if now.Sub(s.steppedAt) >= registrar.PauseThreshold {
+	isPaused := now.Sub(s.steppedAt) >= registrar.PauseThreshold
+	if isPaused || s.resumedAt.IsZero() || now.Sub(s.resumedAt) >= resumeDelay {
+		// What has arrived during a pause may take some steps to get here.
+		s.handledUntil = s.steppedAt
+	}
+	if isPaused {
 		// What has expired meanwhile must not be acted on.
 		s.resumedAt = now
 		s.awaitRefresh(now.Sub(s.steppedAt))
--- a/internal/core/scheduler/simulation_test.go
+++ b/internal/core/scheduler/simulation_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/heatherslip/heatherslip/internal/bench/sequencer"
+	"github.com/heatherslip/heatherslip/internal/core/dater"
 	"github.com/heatherslip/heatherslip/internal/wire/namer"
 )
 
@@ -592,7 +593,7 @@
 	case SendHeartbeats:
 		for _, addr := range a.To {
 			h := a.Heartbeat
-			h.Name, h.SourceAddr = i.core.Name, i.addr
+			h.Name, h.SourceAddr, h.SentAt = i.core.Name, i.addr, dater.ReadingAt(simEpoch.Add(i.w.now))
 			i.w.heartbeats++
 			i.send(addr, HeartbeatReceived{h})
 		}
@@ -606,7 +607,7 @@
 		i.w.onMessage(a)
 	}
 	if i.w.faultRand.IntN(1000) > 0 {
-		i.send(a.To, MessageReceived{From: i.core.Name, SourceAddr: i.addr, Message: a.Message})
+		i.send(a.To, MessageReceived{From: i.core.Name, SourceAddr: i.addr, SentAt: dater.ReadingAt(simEpoch.Add(i.w.now)), Message: a.Message})
 	}
 }
 
--- a/internal/core/scheduler/worker.go
+++ b/internal/core/scheduler/worker.go
@@ -104,6 +104,8 @@
 	size Resources
 	// listed is set if the worker's last list has the run. Otherwise it may not exist.
 	listed bool
+	// outlives is set once the run was logged as outliving its instance.
+	outlives bool
 	// startableUntil is the end of the lease, on the worker's clock, of a start without a
 	// response; zero if the run is known to exist.
 	startableUntil namer.WorkerClockMillis
--- a/internal/edge/gossiper/gossiper.go
+++ b/internal/edge/gossiper/gossiper.go
@@ -13,8 +13,10 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/heatherslip/heatherslip/internal/core/dater"
 	"github.com/heatherslip/heatherslip/internal/core/registrar"
 	"github.com/heatherslip/heatherslip/internal/core/scheduler"
+	"github.com/heatherslip/heatherslip/internal/edge/clocker"
 )
 
 const (
@@ -35,6 +37,8 @@
 	Sender          string                 `cbor:"2,keyasint"`
 	Heartbeat       *registrar.Heartbeat   `cbor:"3,keyasint,omitempty"`
 	Message         *scheduler.PeerMessage `cbor:"4,keyasint,omitempty"`
+	// SentAt is the sender's clock when the datagram was sent.
+	SentAt dater.Reading `cbor:"5,keyasint,omitempty"`
 }
 
 // Receiver handles what arrives from peers. Its methods are called from a single
@@ -81,7 +85,7 @@
 
 // SendHeartbeat sends a heartbeat to peers.
 func (g *Gossiper) SendHeartbeat(to []netip.Addr, h registrar.Heartbeat) {
-	b := encodePacket(&packet{ProtocolVersion: protocolVersion, Sender: g.name, Heartbeat: &h})
+	b := encodePacket(g.newPacket(&h, nil))
 	for _, addr := range to {
 		g.writeDatagram(b, addr)
 	}
@@ -90,7 +94,7 @@
 // SendMessage sends a message to a peer, split into as many datagrams as needed. It
 // drops a part that is too large and can't be split. It returns the number of bytes sent.
 func (g *Gossiper) SendMessage(to netip.Addr, m scheduler.PeerMessage) int {
-	b := encodePacket(&packet{ProtocolVersion: protocolVersion, Sender: g.name, Message: &m})
+	b := encodePacket(g.newPacket(nil, &m))
 	if len(b) <= maxDatagramBytes {
 		g.writeDatagram(b, to)
 		return len(b)
@@ -105,6 +109,13 @@
 	return len(b)
 }
 
+// newPacket returns a packet that is sent now.
+func (g *Gossiper) newPacket(h *registrar.Heartbeat, m *scheduler.PeerMessage) *packet {
+	return &packet{
+		ProtocolVersion: protocolVersion, Sender: g.name, Heartbeat: h, Message: m, SentAt: dater.ReadingAt(clocker.ApproxBootTime()),
+	}
+}
+
 // encodePacket encodes a packet. All types in a packet can be encoded, so an error
 // is a bug.
 func encodePacket(p *packet) []byte {
@@ -157,10 +168,10 @@
 		return
 	}
 	if p.Message != nil {
-		g.receiver.HandleMessage(scheduler.MessageReceived{From: p.Sender, SourceAddr: from, Message: *p.Message})
+		g.receiver.HandleMessage(scheduler.MessageReceived{From: p.Sender, SourceAddr: from, SentAt: p.SentAt, Message: *p.Message})
 	}
 	if p.Heartbeat != nil {
-		p.Heartbeat.Name, p.Heartbeat.SourceAddr = p.Sender, from
+		p.Heartbeat.Name, p.Heartbeat.SourceAddr, p.Heartbeat.SentAt = p.Sender, from, p.SentAt
 		g.receiver.HandleHeartbeat(*p.Heartbeat)
 	}
 }
--- a/internal/edge/starter/starter.go
+++ b/internal/edge/starter/starter.go
@@ -113,7 +113,7 @@
 		n.runMaintenance()
 	}()
 	log.Warn().Int("event", int(eventer.InstanceStarted)).Str("instance", n.name).Str("domain", string(s.Domain)).
-		Str("front", s.FrontAddress).Msg(eventer.InstanceStarted.Name())
+		Str("front", s.FrontAddress).Uint32("tag", n.runTag.Load()).Msg(eventer.InstanceStarted.Name())
 	return n, nil
 }
 
@@ -270,6 +270,7 @@
 	if h.RunTag == namer.RunTag(n.runTag.Load()) && h.Name < n.name {
 		n.runTag.Store(newRunTag())
 		n.driver.SetRunTag(namer.RunTag(n.runTag.Load()))
+		n.log.Warn().Int("event", int(eventer.RunTagChanged)).Uint32("tag", n.runTag.Load()).Str("peer", h.Name).Msg(eventer.RunTagChanged.Name())
 	}
 	n.driver.QueueHeartbeat(h)
 	n.follower.FetchFromPeer(netip.AddrPortFrom(h.SourceAddr, uint16(n.settings.PeerPort)).String(), h.ConfigOffset, h.WorkerListOffset)
--- a/internal/wire/eventer/events.go
+++ b/internal/wire/eventer/events.go
@@ -94,6 +94,9 @@
 	OwnershipClaimed    Event = 542
 	OwnershipReleased   Event = 543
 	WorkerSpeedChanged  Event = 545
+	MessagesLate        Event = 546
+	RunOutlivesInstance Event = 547
+	RunTagChanged       Event = 548
 	CallRefused         Event = 540
 	// 550 to 559 are the operator's evacuations.
 	EvacuationBegun       Event = 550
@@ -206,6 +209,9 @@
 		{StoreUnavailable, "store down", "The platform's store does not respond; the instance continues with the last state that it has read."},
 		{StoreAvailable, "store up", "The platform's store responds again."},
 		{PeerReachable, "peer heard", "A first heartbeat from another instance was received."},
+		{MessagesLate, "messages late", "Messages of another instance are handled long after they were sent: this process, that one or the network stands still at times. The line has the delay of one of them, and is logged at most once a second for each peer. If it goes on, give the instance more processor time."},
+		{RunOutlivesInstance, "run outlives instance", "A worker lists a run of an instance that is silent for so long that the run's lease should have ended; the line has the silence, by the time at which the last message was sent. The run's task may be started a second time. Please report it with the logs of all instances."},
+		{RunTagChanged, "run tag changed", "Another instance has the same run tag; this one marks its runs with another tag from now on."},
 		{PeerUnreachable, "peer silent", "Another instance is silent; its runs count as abandoned."},
 		{ClockJumped, "clock jumped", "The process was paused, or the system clock was set; the line has the length of the jump."},
 		{SettingsReloaded, "settings reloaded", "The settings file has changed and was read again; the line has the number of seeds, which take effect at once."},
