--- a/internal/core/scheduler/simulation_test.go
+++ b/internal/core/scheduler/simulation_test.go
@@ -60,6 +60,12 @@
 	slowdownBeside func(kind, neighbor namer.Kind) float64
 	// onCrash is called when a task has crashed a worker.
 	onCrash func(*simJob)
+	// onStep is called at each step of an instance, onCall when a worker carries out an
+	// instance's start or poll, and onStart and onEnd when a run starts and ends.
+	onStep  func(*simInstance)
+	onCall  func(by *simInstance, s *simWorker, a Action)
+	onStart func(*simWorker, *simRun)
+	onEnd   func(*simWorker, *simRun, EndCause)
 }
 
 // Time constants of the simulated platform.
@@ -342,6 +348,9 @@
 	s.lastSequence++
 	s.ended = append(s.ended, EndedRun{Sequence: s.lastSequence, Task: r.key.task, Run: r.key.run, Cause: cause})
 	s.w.recordEnd(r, cause)
+	if s.w.onEnd != nil {
+		s.w.onEnd(s, r, cause)
+	}
 	if cause != EndSucceeded {
 		s.recordLost(r)
 	}
@@ -395,6 +404,9 @@
 	r := &simRun{key: key, cores: cores, startedAt: s.w.now, runTime: time.Duration(float64(runTime) * s.slowdown * s.slowdownOf(key))}
 	s.runs[key] = r
 	s.w.starts++
+	if s.w.onStart != nil {
+		s.w.onStart(s, r)
+	}
 	s.w.checkStart(s, r)
 	if s.w.crashesWorkers(key.task) {
 		s.crashUnder(key.task)
@@ -569,6 +581,9 @@
 	events := i.pendingEvents
 	i.pendingEvents = nil
 	now := simEpoch.Add(i.w.now)
+	if i.w.onStep != nil {
+		i.w.onStep(i)
+	}
 	for _, a := range i.core.Step(now, namer.UnixMillis(now.UnixMilli()), events) {
 		i.perform(a)
 	}
@@ -690,6 +705,7 @@
 			runTime = time.Duration(simSpreadFactor * float64(runTime))
 		}
 		if e.Status = StartFenced; !s.rejects(a.Fence) {
+			i.w.observeCall(i, s, a)
 			e.Status = s.start(runKey{a.Task, a.Run}, a.LeaseUntil, j.taskCores[a.Task.Index], runTime)
 		}
 		e.Clock = s.clock()
@@ -698,6 +714,12 @@
 	})
 }
 
+func (w *simWorld) observeCall(by *simInstance, s *simWorker, a Action) {
+	if w.onCall != nil {
+		w.onCall(by, s, a)
+	}
+}
+
 func (i *simInstance) performStop(a Stop) {
 	e := StopResult{Worker: a.Worker, Task: a.Task, Run: a.Run, Fence: a.Fence}
 	i.callWorker(a.Worker, 80*time.Millisecond, e, e, func(s *simWorker, respond func(Event)) {
@@ -720,6 +742,7 @@
 		}
 		s.acknowledge(a.AckSequence)
 		if a.LeaseUntil > 0 {
+			i.w.observeCall(i, s, a)
 			s.renewLease(a.LeaseUntil)
 		}
 		done := false
