scheduler: peers are alive by when their messages were sent

What callers saw: a task ran twice at the same time. Its first run went on, often to its end, after the instance of its first submission had died or frozen, and the client had sent the job again elsewhere.

Cause: the owner of a worker renews the lease of its runs while their instance has been heard in the last 0.4 s. It took the time at which it handled a message for the time at which the peer was alive. A heartbeat that lay in the socket while the owner stood still counted as news, so that the lease ended later than the 1.22 s after which clients can rely on it.

Change: messages of peers are dated by package dater, from the sender's clock. What a peer sent before the receiver knew it, or during a pause of the receiver, is dated as early as it can have arrived. The registrar and the age of advertised capacity use the same dates.

The other tests of the package pass as before.

Why it works: a lease is extended by at most 0.82 s at a moment at most 0.4 s after the peer sent its last message, however late that message is handled.

--- a/internal/core/registrar/member.go
+++ b/internal/core/registrar/member.go
@@ -26,7 +26,7 @@
 	load            *balancer.Load
 	// listedAt is when the address was added to the roster.
 	listedAt time.Time
-	// heardAt is when the last heartbeat arrived; zero if there was none.
+	// heardAt is when the newest heartbeat was sent; zero if there was none.
 	heardAt time.Time
 	// interval is the time until the next heartbeat as announced in the last one; zero
 	// if none was announced.
--- a/internal/core/registrar/registrar.go
+++ b/internal/core/registrar/registrar.go
@@ -318,9 +318,9 @@
 	}
 }
 
-// HandleHeartbeat records a heartbeat. It reports whether it is news; one of an
-// incarnation that was replaced is not.
-func (r *Registrar) HandleHeartbeat(now time.Time, h *Heartbeat) bool {
+// HandleHeartbeat records a heartbeat that was sent at sentAt. It reports whether it is
+// news; one of an incarnation that was replaced is not.
+func (r *Registrar) HandleHeartbeat(now, sentAt time.Time, h *Heartbeat) bool {
 	r.now = now
 	if h.SourceAddr == r.Addr || h.Name == r.Name {
 		return false
@@ -336,7 +336,7 @@
 	}
 	m.domain, m.cpuLimit, m.runTag, m.draining, m.owner = h.Domain, h.CPULimit, h.RunTag, h.Draining, h.Owner
 	m.freeCores, m.load, m.interval = h.FreeCores, h.Load, h.Interval
-	m.heardAt, m.aliveAt = now, now
+	m.heardAt, m.aliveAt = later(m.heardAt, sentAt), later(m.aliveAt, sentAt)
 	if isNew || h.Joining {
 		r.replies = append(r.replies, m)
 	}
--- a/internal/core/registrar/registrar_test.go
+++ b/internal/core/registrar/registrar_test.go
@@ -232,11 +232,11 @@
 	heartbeat := func(name string, tag namer.RunTag) *Heartbeat {
 		return &Heartbeat{Name: name, SourceAddr: testAddr(2), Domain: "d", RunTag: tag, Interval: time.Second, Owner: true}
 	}
-	must.True(t, r.HandleHeartbeat(simEpoch, heartbeat("old", 1)))
+	must.True(t, r.HandleHeartbeat(simEpoch, simEpoch, heartbeat("old", 1)))
 	must.SliceEmpty(t, r.TakeReplaced())
-	must.True(t, r.HandleHeartbeat(simEpoch, heartbeat("new", 2)))
+	must.True(t, r.HandleHeartbeat(simEpoch, simEpoch, heartbeat("new", 2)))
 	must.Eq(t, []string{"old"}, r.TakeReplaced())
-	must.False(t, r.HandleHeartbeat(simEpoch, heartbeat("old", 1)))
+	must.False(t, r.HandleHeartbeat(simEpoch, simEpoch, heartbeat("old", 1)))
 	r.HandleMessage("old", testAddr(2))
 	must.SliceEmpty(t, r.TakeReplaced())
 	addr, known := r.AddrOf("new")
@@ -275,8 +275,8 @@
 	for name, h := range cases {
 		t.Run(name, func(t *testing.T) {
 			r := New(Settings{Name: "this", Addr: testAddr(1), Domain: "d", CPULimit: 400}, nil, simEpoch)
-			r.HandleHeartbeat(simEpoch, heard)
-			r.HandleHeartbeat(simEpoch.Add(time.Millisecond), h)
+			r.HandleHeartbeat(simEpoch, simEpoch, heard)
+			r.HandleHeartbeat(simEpoch.Add(time.Millisecond), simEpoch.Add(time.Millisecond), h)
 			r.Step(simEpoch.Add(60 * time.Millisecond))
 			must.Len(t, 1, r.sorted)
 			must.Eq(t, "heard", r.sorted[0].name)
--- a/internal/core/registrar/site_test.go
+++ b/internal/core/registrar/site_test.go
@@ -154,7 +154,7 @@
 			return
 		}
 		target.received++
-		target.reg.HandleHeartbeat(simEpoch.Add(i.site.now), &h)
+		target.reg.HandleHeartbeat(simEpoch.Add(i.site.now), simEpoch.Add(i.site.now), &h)
 	})
 }
 
--- a/internal/core/scheduler/peer.go
+++ b/internal/core/scheduler/peer.go
@@ -28,13 +28,10 @@
 	cpuLimit namer.MilliCores
 	// isOwner is set while the peer is one of the scheduler's owners.
 	isOwner bool
-	// lastSeen is when a message or heartbeat of the peer arrived last, or when a
-	// worker first listed its newest run; zero if never.
+	// lastSeen is when the newest message or heartbeat of the peer was sent, as dater dates
+	// it, or when a worker first listed its newest run; zero if never.
 	lastSeen time.Time
-	// dater dates the peer's messages. aliveAt is when the newest of them was sent; zero if
-	// there was none.
-	dater   *dater.Dater
-	aliveAt time.Time
+	dater    *dater.Dater
 	// lateLoggedAt is when a late message of the peer was last logged.
 	lateLoggedAt time.Time
 	// replaced is set once another incarnation runs at the peer's address.
@@ -126,36 +123,38 @@
 // handleHeartbeat processes a peer's heartbeat and the states of other owners that it
 // relays.
 func (s *Scheduler) handleHeartbeat(h *registrar.Heartbeat) {
-	if !s.registrar.HandleHeartbeat(s.now, h) {
+	p := s.peerNamed(h.Name)
+	sentAt := s.dateMessage(p, h.SentAt)
+	if !s.registrar.HandleHeartbeat(s.now, sentAt, h) {
 		return
 	}
-	p := s.peerNamed(h.Name)
 	if p.lastSeen.IsZero() {
 		s.sendAllCrashes(p)
 	}
-	p.lastSeen = s.now
-	s.recordSignOfLife(p, h.SentAt)
+	p.recordSignOfLife(sentAt)
 	s.setPeerState(p, h.Domain, h.RunTag, h.FreeCores)
 	s.setPeerLoad(p, h.Load)
-	p.advertisedAt, p.advertisedFor = s.now, max(ownerTimeout, time.Duration(advertisedIntervals*float64(h.Interval)))
+	p.advertisedAt, p.advertisedFor = sentAt, max(ownerTimeout, time.Duration(advertisedIntervals*float64(h.Interval)))
 	for i := range h.Owners {
 		s.handleOwnerSummary(&h.Owners[i])
 	}
 }
 
-// recordSignOfLife records that a message of a peer has arrived, by the time at which it
-// was sent.
-func (s *Scheduler) recordSignOfLife(p *peer, sentAt dater.Reading) {
-	date := p.dater.Date(sentAt, s.handledUntil, s.now)
-	if date.After(p.aliveAt) {
-		p.aliveAt = date
+// dateMessage returns when a message of a peer was sent. It may have waited for this
+// instance, and the peer may have died since.
+func (s *Scheduler) dateMessage(p *peer, reading dater.Reading) time.Time {
+	sentAt := p.dater.Date(reading, s.handledUntil, s.now)
+	if delay := s.now.Sub(sentAt); delay >= lateMessage && s.now.Sub(p.lateLoggedAt) >= lateLogInterval {
+		p.lateLoggedAt = s.now
+		s.emit(Decision{Event: eventer.MessagesLate, Peer: p.name, Age: delay})
 	}
-	delay := s.now.Sub(date)
-	if delay < lateMessage || s.now.Sub(p.lateLoggedAt) < lateLogInterval {
-		return
+	return sentAt
+}
+
+func (p *peer) recordSignOfLife(at time.Time) {
+	if at.After(p.lastSeen) {
+		p.lastSeen = at
 	}
-	p.lateLoggedAt = s.now
-	s.emit(Decision{Event: eventer.MessagesLate, Peer: p.name, Age: delay})
 }
 
 // handleOwnerSummary processes the relayed state of an owner. It is no sign of life as
@@ -298,7 +297,7 @@
 		if !f.listed || f.outlives || p == nil {
 			continue
 		}
-		aliveAt := p.aliveAt
+		aliveAt := p.lastSeen
 		if aliveAt.IsZero() {
 			aliveAt = p.listedAt
 		}
@@ -401,8 +400,7 @@
 func (s *Scheduler) handlePeerMessage(e MessageReceived) {
 	s.registrar.HandleMessage(e.From, e.SourceAddr)
 	p := s.peerNamed(e.From)
-	p.lastSeen = s.now
-	s.recordSignOfLife(p, e.SentAt)
+	p.recordSignOfLife(s.dateMessage(p, e.SentAt))
 	for i := range e.Message.ReserveRequests {
 		s.handleReserveRequest(p, &e.Message.ReserveRequests[i])
 	}
