scheduler: starts extend no lease of a silent instance's runs

Cause: a worker's lease covers all its runs, and each start extends it. Whether a worker had runs of a silent instance was counted when it was last polled, up to 0.3 s before, and longer if the owner stood still. A start in between kept such runs alive for another 0.8 s. The start that a peer had ordered on a reservation was sent without a look at it at all.

Change: each call that extends a lease checks whose runs it would keep up, at that moment. An ordered start that would is reported as not sent; the peer places the task elsewhere.

Evidence: TestNoStartExtendsLeaseOfSilentInstance failed in two of its four cases. The other tests of the package pass as before.

--- a/internal/core/scheduler/obstacle.go
+++ b/internal/core/scheduler/obstacle.go
@@ -70,7 +70,7 @@
 		return obstacleUnclaimed
 	case !s.admitsStarts(w):
 		return obstacleDraining
-	case w.orphanedRuns > 0:
+	case s.hasOrphanedRuns(w):
 		return obstacleOrphans
 	case s.isUnresponsive(w):
 		return obstacleSilent
--- a/internal/core/scheduler/peer.go
+++ b/internal/core/scheduler/peer.go
@@ -99,6 +99,7 @@
 	for _, name := range s.registrar.TakeReplaced() {
 		if p := s.peers[name]; p != nil {
 			p.replaced = true
+			s.reviewLeases()
 		}
 	}
 	if owners, changed := s.registrar.TakeOwners(); changed {
@@ -187,6 +188,7 @@
 	}
 	if s.peersByTag[p.runTag] == p {
 		delete(s.peersByTag, p.runTag)
+		s.reviewLeases()
 	}
 	if known := s.peersByTag[tag]; known != nil && known.name == "" {
 		p.listedAt = known.listedAt
@@ -233,14 +235,25 @@
 	}
 }
 
-// isLiveTag reports whether the instance with this run tag counts as live, so that
-// the leases of its runs are renewed.
-func (s *Scheduler) isLiveTag(tag namer.RunTag) bool {
+// liveUntil returns until when the instance with this run tag counts as live, so that the
+// leases of its runs may be extended, if no further message of it arrives.
+func (s *Scheduler) liveUntil(tag namer.RunTag) time.Time {
 	if tag == s.RunTag {
-		return true
+		return s.now.Add(peerTimeout)
 	}
 	p := s.peersByTag[tag]
-	return p != nil && !p.replaced && !p.lastSeen.IsZero() && s.now.Sub(p.lastSeen) < peerTimeout
+	if p == nil || p.replaced {
+		return time.Time{}
+	}
+	return p.lastSeen.Add(peerTimeout)
+}
+
+// reviewLeases has it determined anew whose runs are on the workers, after an instance has
+// ceased to count as live.
+func (s *Scheduler) reviewLeases() {
+	for _, w := range s.sortedWorkers {
+		w.leasableUntil = time.Time{}
+	}
 }
 
 // isDeadTag reports whether the instance with this run tag has been silent for so
--- a/internal/core/scheduler/poll.go
+++ b/internal/core/scheduler/poll.go
@@ -66,14 +66,13 @@
 func (s *Scheduler) sendPoll(w *worker) {
 	w.pollInFlight = true
 	poll := Poll{Worker: w.id, AckSequence: w.ackedSequence(), Wait: longPollTime}
-	s.countOrphanedRuns(w)
 	switch {
 	case !w.runsListed, w.owned && w.isUnclaimed(), s.isUnresponsive(w):
 		poll.Wait = 0
 	case w.hasWantedRuns():
 		poll.Wait = busyLongPollTime
 	}
-	if w.runsListed && w.hasWantedRuns() && w.orphanedRuns == 0 {
+	if w.runsListed && w.hasWantedRuns() && !s.hasOrphanedRuns(w) {
 		poll.LeaseUntil = s.leaseEnd(w)
 	}
 	s.emit(poll)
--- a/internal/core/scheduler/reservation.go
+++ b/internal/core/scheduler/reservation.go
@@ -383,7 +383,8 @@
 }
 
 // handleStartOrder starts a peer's task on the worker that is reserved for it, unless the
-// worker is draining and it is too late for a start. An order
+// worker is draining and it is too late for a start, or the start would extend the lease
+// of runs whose instance has fallen silent since. An order
 // without a reservation is ignored: the reservation has expired, or the order was
 // repeated. The peer finds out from the worker's runs.
 func (s *Scheduler) handleStartOrder(p *peer, order RunRef, payload string) {
@@ -396,7 +397,7 @@
 	if i < 0 || w.reservations[i].starting || s.withholdStart(p, w, key) {
 		return
 	}
-	if !s.admitsStarts(w) {
+	if !s.admitsStarts(w) || s.hasOrphanedRuns(w) {
 		w.reservations = slices.Delete(w.reservations, i, i+1)
 		out := s.outboxOf(p)
 		out.StartReports = append(out.StartReports, StartReport{order, StartNotSent})
--- a/internal/core/scheduler/reservation_test.go
+++ b/internal/core/scheduler/reservation_test.go
@@ -246,3 +246,35 @@
 		})
 	}
 }
+
+// TestNoStartExtendsLeaseOfSilentInstance guards against starts that extend the lease of the
+// runs of an instance that has fallen silent since the last poll: the lease covers all
+// runs of a worker.
+func TestNoStartExtendsLeaseOfSilentInstance(t *testing.T) {
+	const ordered, silentTag = namer.RunID(1<<20 | 2), 3
+	running := ActiveRun{Task: namer.TaskName{Job: "b"}, Run: namer.NewRunID(7, silentTag), Cores: 1000}
+	ownJob := JobSubmitted{Call: 1, Job: JobSpec{
+		Name: "c", Kind: "short", Service: "s", MaxAttempts: 2, ObjectiveFactor: 1.6, ObjectiveBase: time.Second, CallerTimeout: time.Second,
+		Steps: []StepSpec{{Count: 1, Size: Resources{Cores: 1000}, EstimatedRunTime: 50 * time.Millisecond}},
+	}}
+	cases := map[string]struct {
+		event   Event
+		after   time.Duration
+		started bool
+	}{
+		"own task, instance is live":          {ownJob, peerTimeout - 5*time.Millisecond, true},
+		"own task, instance is silent":        {ownJob, peerTimeout + 5*time.Millisecond, false},
+		"order of a peer, instance is live":   {startOrder(0, ordered), peerTimeout - 5*time.Millisecond, true},
+		"order of a peer, instance is silent": {startOrder(0, ordered), peerTimeout + 5*time.Millisecond, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s, now := newOwner()
+			s.Step(now, 1, []Event{ownerHeartbeat(silentTag-2, "d0"), PollResult{Worker: "w", SentAt: now, BootTime: 1, Clock: 1, Active: []ActiveRun{running}}})
+			s.Step(now.Add(200*time.Millisecond), 1, []Event{ownerHeartbeat(0, "d0")})
+			reservedAt := now.Add(peerTimeout - 10*time.Millisecond)
+			must.Eq(t, []namer.Worker{"w"}, reservedWorkers(s.Step(reservedAt, 1, []Event{reserveRequest(0, ordered, 9000)})))
+			must.Eq(t, c.started, len(startsOf(s.Step(now.Add(c.after), 1, []Event{c.event}))) == 1)
+		})
+	}
+}
--- a/internal/core/scheduler/worker.go
+++ b/internal/core/scheduler/worker.go
@@ -51,8 +51,8 @@
 	foreignRuns []foreignRun
 	// reservations hold capacity for starts of peers.
 	reservations []reservation
-	// orphanedRuns counts the foreign runs whose instance is not live.
-	orphanedRuns int
+	// leasableUntil is a time until which the instances of all foreign runs count as live.
+	leasableUntil time.Time
 	// ownUsage and foreignUsage are the capacity used by both groups of runs.
 	ownUsage     Resources
 	foreignUsage Resources
@@ -348,7 +348,7 @@
 		s.staleRuns[runs[i].Task.Job]++
 		w.foreignUsage = w.foreignUsage.add(s.sizeOn(w, &runs[i]))
 	}
-	s.countOrphanedRuns(w)
+	w.leasableUntil = time.Time{}
 }
 
 // foreignRunSize returns the capacity that another instance's run is assumed to
@@ -363,13 +363,20 @@
 	return Resources{Cores: f.Cores}
 }
 
-func (s *Scheduler) countOrphanedRuns(w *worker) {
-	w.orphanedRuns = 0
+// hasOrphanedRuns reports whether a worker has runs of an instance that does not count as
+// live. Nothing may extend the lease of the worker then, since a lease covers all runs.
+func (s *Scheduler) hasOrphanedRuns(w *worker) bool {
+	if len(w.foreignRuns) == 0 || s.now.Before(w.leasableUntil) {
+		return false
+	}
+	until := s.now.Add(peerTimeout)
 	for i := range w.foreignRuns {
-		if !s.isLiveTag(w.foreignRuns[i].Run.Tag()) {
-			w.orphanedRuns++
+		if until = earlier(until, s.liveUntil(w.foreignRuns[i].Run.Tag())); !s.now.Before(until) {
+			return true
 		}
 	}
+	w.leasableUntil = until
+	return false
 }
 
 // openBreaker stops placing tasks on a worker for a while.
