--- a/internal/core/scheduler/lease_test.go
+++ b/internal/core/scheduler/lease_test.go
@@ -24,6 +24,9 @@
 	calls  map[namer.Worker][]leaseCall
 	// overlaps are the traces of the tasks with two runs at the same time.
 	overlaps []string
+	// longest is the longest time from the last step of an instance to the end of a run
+	// of it.
+	longest time.Duration
 }
 
 type tracedRun struct {
@@ -58,6 +61,9 @@
 		c.call, until = "start", a.LeaseUntil
 	case Poll:
 		c.call, until = "poll", a.LeaseUntil
+		if !by.core.workers[s.id].owned {
+			c.call = "poll without ownership"
+		}
 	}
 	c.until = t.w.now + time.Duration(float64(until-s.clock())/s.clockRate)*time.Millisecond
 	t.calls[s.id] = append(t.calls[s.id], c)
@@ -78,6 +84,7 @@
 }
 
 func (t *leaseTracer) recordEnd(s *simWorker, r *simRun, cause EndCause) {
+	t.longest = max(t.longest, t.w.now-t.aliveAt[r.key.run.Tag()])
 	var rest []tracedRun
 	for _, a := range t.active[r.key.task] {
 		if a.run != r.key.run {
@@ -122,15 +129,15 @@
 	// prepare schedules its loss at a time, and the events around it.
 	prepare func(w *simWorld, r *rand.Rand, lost *simInstance, at time.Duration)
 	// lasting, broken and medium are the rates of the jobs per second.
-	lasting, broken, medium float64
-	seeds                   uint64
+	lasting, broken, short float64
+	seeds                  uint64
 }
 
 // leaseLossAt is when the instance of a leaseScenario is lost.
 const leaseLossAt = 4 * time.Second
 
-// run simulates the scenario with a seed and returns the traces of tasks with two runs.
-func (c leaseScenario) run(seed uint64) []string {
+// run simulates the scenario with a seed and returns what was traced.
+func (c leaseScenario) run(seed uint64) *leaseTracer {
 	w := newSimWorld(seed, c.site)
 	tracer := traceLeases(w)
 	r := rand.New(rand.NewPCG(seed, 99))
@@ -145,15 +152,16 @@
 	if c.broken > 0 {
 		w.addTraffic(brokenJob, c.broken, leaseLossAt-2*time.Second, end, weights)
 	}
-	if c.medium > 0 {
-		w.addTraffic(mediumJob, c.medium, leaseLossAt-2*time.Second, end, weights)
+	if c.short > 0 {
+		w.addTraffic(shortJob, c.short, leaseLossAt-2*time.Second, end, weights)
 	}
 	if c.lasting > 0 {
-		w.addUnderestimated(lastingJob, c.lasting, leaseLossAt-2*time.Second, end, weights)
+		w.addUnderestimated(lastingJob, c.lasting, leaseLossAt-1600*time.Millisecond, leaseLossAt-time.Second, weights)
 	}
+	w.unordered = true
 	c.prepare(w, r, w.instances[c.lost], leaseLossAt)
 	w.run(leaseLossAt + 8*time.Second)
-	return tracer.overlaps
+	return tracer
 }
 
 // addUnderestimated is addTraffic with jobs whose estimate is a third of their run time.
@@ -189,14 +197,18 @@
 	t.Helper()
 	var failed []uint64
 	var first []string
+	var longest time.Duration
 	for seed := range c.seeds {
-		if overlaps := c.run(seed); len(overlaps) > 0 {
+		tracer := c.run(seed)
+		longest = max(longest, tracer.longest)
+		if len(tracer.overlaps) > 0 {
 			if failed = append(failed, seed); first == nil {
-				first = overlaps
+				first = tracer.overlaps
 			}
 		}
 	}
-	must.SliceEmpty(t, failed, must.Sprintf("%d of %d seeds; the first: %s", len(failed), c.seeds, strings.Join(first[:min(len(first), 2)], "\n")))
+	t.Logf("a run ended at most %v after the last step of its instance", longest)
+	must.SliceEmpty(t, failed, must.Sprintf("seeds %v of %d; the first: %s", failed, c.seeds, strings.Join(first[:min(len(first), 2)], "\n")))
 }
 
 // between returns a random time from a to b.
@@ -210,23 +222,304 @@
 	i.w.at(from+length, func() { i.suspended = false })
 }
 
+// freezeOthers lets all instances but one stand still, each from a random time in a span
+// and for a random time.
+func (w *simWorld) freezeOthers(r *rand.Rand, lost *simInstance, from, to, shortest, longest time.Duration) {
+	for _, i := range w.instances {
+		if i != lost {
+			i.freeze(between(r, from, to), between(r, shortest, longest))
+		}
+	}
+}
+
+// freezeOwners does the same for the owners of an unevenSite.
+func (w *simWorld) freezeOwners(r *rand.Rand, from, to, shortest, longest time.Duration) {
+	for _, i := range w.instances {
+		if i.cpuLimit == simStrongLimit {
+			i.freeze(between(r, from, to), between(r, shortest, longest))
+		}
+	}
+}
+
 // TestQueuedHeartbeatsAreNotSignsOfLife guards against owners that take what an instance
 // sent before its loss for a sign of life when they handle it, after standing still.
 func TestQueuedHeartbeatsAreNotSignsOfLife(t *testing.T) {
+	const longest = 300 * time.Millisecond
 	killed := func(w *simWorld, r *rand.Rand, lost *simInstance, at time.Duration) {
 		w.at(at, lost.kill)
+		w.freezeOthers(r, lost, at-120*time.Millisecond, at, 200*time.Millisecond, longest)
+	}
+	frozen := func(w *simWorld, r *rand.Rand, lost *simInstance, at time.Duration) {
+		lost.freeze(at, 3650*time.Millisecond)
+		w.freezeOthers(r, lost, at-120*time.Millisecond, at, 200*time.Millisecond, longest)
+	}
+	checkAll(t, map[string]leaseScenario{
+		"an owner is killed while others stand still":        {smallSite, 0, killed, 0, 16, 0, 60},
+		"an instance is killed while its owners stand still": {unevenSite, 3, killed, 0, 16, 0, 60},
+		"an instance freezes while its owners stand still":   {unevenSite, 3, frozen, 50, 0, 0, 60},
+	})
+}
+
+// TestWakingOwnerKeepsUpNoFrozenInstance guards against an owner that freezes before an
+// instance does and wakes after it, and takes what it then receives for news.
+func TestWakingOwnerKeepsUpNoFrozenInstance(t *testing.T) {
+	woken := func(w *simWorld, r *rand.Rand, lost *simInstance, at time.Duration) {
+		lost.freeze(at, 3650*time.Millisecond)
+		from := at - between(r, 600*time.Millisecond, 1200*time.Millisecond)
+		w.instances[1].freeze(from, at-from+between(r, 300*time.Millisecond, 850*time.Millisecond))
+	}
+	checkAll(t, map[string]leaseScenario{
+		"all own workers":         {smallSite, 0, woken, 50, 0, 0, 40},
+		"the frozen one has none": {unevenSite, 3, woken, 50, 0, 0, 40},
+	})
+}
+
+func checkAll(t *testing.T, cases map[string]leaseScenario) {
+	t.Helper()
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c.check(t)
+		})
+	}
+}
+
+// TestStartDoesNotExtendLeaseOfOrphanedRuns guards against starts that extend the lease of
+// a worker's runs by what the owner knew at its last poll.
+func TestStartDoesNotExtendLeaseOfOrphanedRuns(t *testing.T) {
+	steady := func(w *simWorld, _ *rand.Rand, lost *simInstance, at time.Duration) { w.at(at, lost.kill) }
+	// The pause delays the stop of the runs, which would hide the longer lease.
+	paused := func(w *simWorld, r *rand.Rand, lost *simInstance, at time.Duration) {
+		w.at(at, lost.kill)
+		w.freezeOthers(r, lost, at+2*time.Millisecond, at+10*time.Millisecond, 262*time.Millisecond, 300*time.Millisecond)
+	}
+	lossy := func(w *simWorld, r *rand.Rand, lost *simInstance, at time.Duration) {
+		paused(w, r, lost, at)
+		w.at(at+330*time.Millisecond, func() { w.lostResponseShare = 0.4 })
+		w.at(at+700*time.Millisecond, func() { w.lostResponseShare = 0 })
+	}
+	standing := func(w *simWorld, r *rand.Rand, lost *simInstance, at time.Duration) {
+		paused(w, r, lost, at)
+		w.freezeOthers(r, lost, at+360*time.Millisecond, at+395*time.Millisecond, 60*time.Millisecond, 150*time.Millisecond)
+	}
+	checkAll(t, map[string]leaseScenario{
+		"no other fault":              {smallSite, 0, steady, 0, 16, 50, 30},
+		"owners were paused":          {smallSite, 0, paused, 0, 30, 70, 60},
+		"answers of workers are lost": {smallSite, 0, lossy, 0, 30, 70, 60},
+		"owners stand still":          {smallSite, 0, standing, 0, 30, 70, 60},
+	})
+}
+
+// TestRunsEndThoughOwnerIsSilent guards against instances that poll the workers of a silent
+// owner and extend the leases there without knowing the runs.
+func TestRunsEndThoughOwnerIsSilent(t *testing.T) {
+	silent := func(w *simWorld, r *rand.Rand, lost *simInstance, at time.Duration) {
+		w.freezeOwners(r, at-1500*time.Millisecond, at-1400*time.Millisecond, 300*time.Millisecond, 400*time.Millisecond)
+		w.at(at, lost.kill)
+		w.freezeOwners(r, at+200*time.Millisecond, at+600*time.Millisecond, 300*time.Millisecond, 700*time.Millisecond)
+	}
+	checkAll(t, map[string]leaseScenario{
+		"instances without workers": {unevenSite, 3, silent, 0, 30, 0, 60},
+	})
+}
+
+// TestListedRunIsNoLaterSignOfLife guards against owners that take the time at which they
+// see a run for the time at which its instance was alive.
+func TestListedRunIsNoLaterSignOfLife(t *testing.T) {
+	cutOff := func(w *simWorld, _ *rand.Rand, lost *simInstance, at time.Duration) {
+		w.at(at-time.Second, func() { lost.isolated = true })
+		w.at(at, lost.kill)
+	}
+	restarted := func(w *simWorld, r *rand.Rand, lost *simInstance, at time.Duration) {
 		for _, i := range w.instances {
-			if i != lost {
-				from := at - between(r, 0, 60*time.Millisecond)
-				i.freeze(from, at-from+between(r, 60*time.Millisecond, 240*time.Millisecond))
+			w.at(at-between(r, 700*time.Millisecond, 1100*time.Millisecond), i.kill)
+			w.at(at-between(r, 300*time.Millisecond, 650*time.Millisecond), i.start)
+		}
+		w.at(at, lost.kill)
+	}
+	checkAll(t, map[string]leaseScenario{
+		"an instance without peers is killed":         {smallSite, 0, cutOff, 0, 30, 0, 60},
+		"an instance is killed while the site starts": {smallSite, 0, restarted, 0, 30, 0, 60},
+	})
+}
+
+// TestRunsEndAfterLossOfAllInstances guards against new owners that keep up the runs of
+// instances from before the loss, or take them for ended.
+func TestRunsEndAfterLossOfAllInstances(t *testing.T) {
+	restart := func(still bool) func(w *simWorld, r *rand.Rand, lost *simInstance, at time.Duration) {
+		return func(w *simWorld, r *rand.Rand, _ *simInstance, at time.Duration) {
+			restartAt := between(r, 200*time.Millisecond, 1800*time.Millisecond)
+			for n, i := range w.instances {
+				killAt := at + time.Duration(n%2)*300*time.Millisecond
+				w.at(killAt, i.kill)
+				startAt := max(killAt+10*time.Millisecond, at+restartAt+between(r, 0, 350*time.Millisecond))
+				w.at(startAt, i.start)
+				for from := startAt; still && from < startAt+2*time.Second; from += between(r, 60*time.Millisecond, 300*time.Millisecond) {
+					i.freeze(from, between(r, 20*time.Millisecond, 150*time.Millisecond))
+				}
+			}
+		}
+	}
+	checkAll(t, map[string]leaseScenario{
+		"two groups": {smallSite, 0, restart(false), 0, 30, 20, 60},
+		"two groups that stand still as they start": {smallSite, 0, restart(true), 0, 30, 20, 60},
+		"two groups, instances without workers":     {unevenSite, 3, restart(true), 0, 30, 20, 40},
+	})
+}
+
+// TestWakingInstanceDoesNotKeepUpAbandonedRuns guards against an instance whose first
+// heartbeat after standing still has its runs kept up before it knows which clients have
+// gone, and that stands still again then.
+func TestWakingInstanceDoesNotKeepUpAbandonedRuns(t *testing.T) {
+	wakes := func(w *simWorld, r *rand.Rand, lost *simInstance, at time.Duration) {
+		lost.cancelLag = 10 * time.Millisecond
+		length := between(r, 700*time.Millisecond, 980*time.Millisecond)
+		lost.freeze(at, length)
+		lost.freeze(at+length+between(r, 10*time.Millisecond, 20*time.Millisecond), 2*time.Second)
+	}
+	checkAll(t, map[string]leaseScenario{
+		"owner":                    {smallSite, 0, wakes, 50, 0, 0, 60},
+		"instance without workers": {unevenSite, 3, wakes, 50, 0, 0, 60},
+	})
+}
+
+// leaseEnds returns the ends of the leases that the actions ask for, on the worker's clock.
+func leaseEnds(actions []Action) []namer.WorkerClockMillis {
+	var out []namer.WorkerClockMillis
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Start:
+			out = append(out, a.LeaseUntil)
+		case Poll:
+			if a.LeaseUntil > 0 {
+				out = append(out, a.LeaseUntil)
 			}
 		}
 	}
-	cases := map[string]leaseScenario{
-		"an owner is killed while others stand still":        {smallSite, 0, killed, 0, 16, 40, 40},
-		"an instance is killed while its owners stand still": {unevenSite, 3, killed, 0, 16, 40, 40},
+	return out
+}
+
+// heardLast returns an owner whose worker has a run of a peer that was heard last at the
+// returned time, when the worker's clock read 1.
+func heardLast(t *testing.T) (*Scheduler, time.Time) {
+	t.Helper()
+	const run = namer.RunID(1<<20 | 2)
+	s, now := newOwner()
+	s.Step(now, 1, []Event{reserveRequest(0, run, 6000)})
+	s.Step(now, 1, []Event{startOrder(0, run)})
+	s.Step(now, 1, []Event{StartResult{Worker: "w", Task: namer.TaskName{Job: "a"}, Run: run, Status: StartAccepted, Clock: 1}})
+	return s, now
+}
+
+// latestLeaseEnd is the latest end that a lease may have, on a worker's clock that read 1
+// when an instance with runs there was heard last.
+const latestLeaseEnd = 1 + namer.WorkerClockMillis((peerTimeout+defaultLease)/time.Millisecond)
+
+// TestStartsExtendNoOrphanedLease guards against start orders and own starts that extend
+// the lease of a silent instance's runs, between two polls.
+func TestStartsExtendNoOrphanedLease(t *testing.T) {
+	task := namer.TaskName{Job: "b"}
+	cases := map[string]struct {
+		before, at Event
+	}{
+		"order of a peer": {
+			MessageReceived{From: "e1", SourceAddr: peerAddr(1), Message: PeerMessage{ReserveRequests: []ReserveRequest{{
+				Task: task, Run: 5<<20 | 3, Service: "s", Size: Resources{Cores: 4000}, Kind: "short", PredictedRunTime: 50 * time.Millisecond, Timeout: time.Second,
+			}}}},
+			MessageReceived{From: "e1", SourceAddr: peerAddr(1), Message: PeerMessage{
+				StartOrders: []RunRef{{"w", task, 5<<20 | 3}}, Payloads: []JobPayload{{"b", "payload"}},
+			}},
+		},
+		"start of its own": {
+			ownerHeartbeat(1, "d0"),
+			JobSubmitted{Call: 1, Job: JobSpec{
+				Name: "b", Kind: "short", Service: "s", MaxAttempts: 2, ObjectiveFactor: 1.6, ObjectiveBase: time.Second, CallerTimeout: time.Minute,
+				Steps: []StepSpec{{Count: 1, Size: Resources{Cores: 4000}, EstimatedRunTime: 50 * time.Millisecond}},
+			}},
+		},
 	}
 	for name, c := range cases {
-		t.Run(name, func(t *testing.T) { c.check(t) })
+		t.Run(name, func(t *testing.T) {
+			s, heardAt := heardLast(t)
+			for _, d := range []time.Duration{100, 200, 300, 390} {
+				now := heardAt.Add(d * time.Millisecond)
+				events := []Event{ownerHeartbeat(1, "d0"), PollResult{
+					Worker: "w", SentAt: now.Add(-time.Millisecond), BootTime: 1, Clock: 1 + namer.WorkerClockMillis(d),
+					Active: []ActiveRun{{Task: namer.TaskName{Job: "a"}, Run: 1<<20 | 2, Cores: 6000}},
+				}}
+				if d == 390 {
+					events = append(events, c.before)
+				}
+				for _, end := range leaseEnds(s.Step(now, 1, events)) {
+					must.LessEq(t, latestLeaseEnd, end)
+				}
+			}
+			for _, end := range leaseEnds(s.Step(heardAt.Add(480*time.Millisecond), 1, []Event{c.at})) {
+				must.LessEq(t, latestLeaseEnd, end)
+			}
+		})
+	}
+}
+
+// TestListedRunDatesFromPreviousList guards against a run that was ordered before its
+// instance was lost, and counts as a sign of life when a long poll lists it.
+func TestListedRunDatesFromPreviousList(t *testing.T) {
+	s, listedAt := newOwner()
+	at := func(d time.Duration) time.Time { return listedAt.Add(d * time.Millisecond) }
+	started := []ActiveRun{{Task: namer.TaskName{Job: "a"}, Run: 1<<20 | 2, Cores: 6000}}
+	clock := namer.WorkerClockMillis(1)
+	sentAt := listedAt
+	for _, d := range []time.Duration{300, 400, 500, 600, 690} {
+		clock = 1 + namer.WorkerClockMillis(d)
+		poll := PollResult{Worker: "w", SentAt: sentAt, BootTime: 1, Clock: clock, Active: started}
+		sentAt = at(d)
+		for _, end := range leaseEnds(s.Step(at(d), 1, []Event{ownerHeartbeat(1, "d0"), poll})) {
+			must.LessEq(t, latestLeaseEnd, end, must.Sprintf("%d ms after the worker had no run", d))
+		}
+	}
+}
+
+// TestPollForSilentOwnerKeepsUpNoUnknownRuns guards against an instance that polls the
+// worker of an owner that it does not hear, and extends the lease there by a list and a
+// clock reading from long ago: the worker may have runs of a dead instance since.
+func TestPollForSilentOwnerKeepsUpNoUnknownRuns(t *testing.T) {
+	s := New(Settings{Name: "this", Addr: testAddr, Domain: "d0", CPULimit: simEvenLimit, RunTag: 1, MaxLease: time.Second}, simEpoch, 1)
+	owner := ownerHeartbeat(0, "d1")
+	owner.FreeCores = map[namer.Service][]namer.MilliCores{"s": {16000}}
+	list := WorkerListUpdated{Workers: []WorkerInfo{{
+		ID: "w", Service: "s", Domain: "d1", Capacity: Resources{Cores: 16000, Memory: 1 << 20}, BootTime: 1,
+	}}}
+	now := simEpoch
+	step := func(d time.Duration, events ...Event) []Action {
+		now = now.Add(d)
+		return s.Step(now, 1, events)
+	}
+	step(0, owner, list)
+	step(startTime, owner)
+	// An immediate poll after an order without a report has listed the runs once.
+	step(0, PollResult{Worker: "w", SentAt: now, OutOfBand: true, BootTime: 1, Clock: 1})
+	actions := step(10*time.Millisecond, owner, JobSubmitted{Call: 1, Job: JobSpec{
+		Name: "b", Kind: "long", Service: "s", MaxAttempts: 2, ObjectiveFactor: 1.6, ObjectiveBase: time.Minute, CallerTimeout: time.Minute,
+		Steps: []StepSpec{{Count: 1, Size: Resources{Cores: 4000}, EstimatedRunTime: time.Minute}},
+	}})
+	var request ReserveRequest
+	for _, a := range actions {
+		if m, isMessage := a.(SendMessage); isMessage && len(m.Message.ReserveRequests) > 0 {
+			request = m.Message.ReserveRequests[0]
+		}
+	}
+	must.NotEq(t, 0, request.Run)
+	from := func(m PeerMessage) Event { return MessageReceived{From: "e0", SourceAddr: peerAddr(0), Message: m} }
+	step(time.Millisecond, from(PeerMessage{ReserveResponses: []ReserveResponse{{Task: request.Task, Run: request.Run, Worker: "w", ExpectedRunTime: time.Minute}}}))
+	step(time.Millisecond, from(PeerMessage{StartReports: []StartReport{{RunRef{"w", request.Task, request.Run}, StartAccepted}}}))
+	polled := false
+	for range 4 {
+		actions := step(80 * time.Millisecond)
+		for _, a := range actions {
+			_, isPoll := a.(Poll)
+			polled = polled || isPoll
+		}
+		must.SliceEmpty(t, leaseEnds(actions), must.Sprint("a lease before the worker has listed its runs again"))
 	}
+	must.True(t, polled)
 }
--- a/internal/core/scheduler/simulation_test.go
+++ b/internal/core/scheduler/simulation_test.go
@@ -38,6 +38,9 @@
 	crashingShare float64
 	// evacuatedAt is when the last instance learned of the evacuation of a domain.
 	evacuatedAt map[namer.Domain]time.Duration
+	// unordered is set if an instance that has stood still handles what has arrived
+	// meanwhile in a step each. Events of one source stay in order.
+	unordered bool
 	// partitionedDomain is a domain that can't exchange messages with the others.
 	partitionedDomain namer.Domain
 	violations        []string
@@ -476,7 +479,11 @@
 	shutdownAt    time.Duration
 	rejectsJobs   bool
 	pendingEvents []Event
-	lastCall      namer.CallID
+	// cancelLag is the longest time after a pause until the instance notices which clients
+	// have gone meanwhile.
+	cancelLag time.Duration
+	steppedAt time.Duration
+	lastCall  namer.CallID
 	// callbacks receive the results of calls.
 	callbacks map[namer.CallID]func(JobResult)
 }
@@ -571,15 +578,69 @@
 	if i.incarnation != incarnation || !i.up {
 		return
 	}
+	if _, isCancel := e.(CallCanceled); isCancel && i.suspended && i.cancelLag > 0 {
+		i.w.after(i.cancelLag, func() { i.deliver(incarnation, e) })
+		return
+	}
 	i.pendingEvents = append(i.pendingEvents, e)
 	if _, isHeartbeat := e.(HeartbeatReceived); !isHeartbeat && !i.suspended {
 		i.step()
 	}
 }
 
+// step handles the events that have arrived.
 func (i *simInstance) step() {
 	events := i.pendingEvents
 	i.pendingEvents = nil
+	if i.w.unordered && i.w.now-i.steppedAt > 2*simStepInterval {
+		for _, e := range i.w.reordered(events) {
+			i.stepWith([]Event{e})
+		}
+		return
+	}
+	i.stepWith(events)
+}
+
+// eventSource says what an event comes from.
+type eventSource int
+
+const (
+	fromWorker eventSource = iota
+	fromPeer
+	fromClient
+)
+
+func sourceOf(e Event) eventSource {
+	switch e.(type) {
+	case HeartbeatReceived, MessageReceived:
+		return fromPeer
+	case JobSubmitted, CallCanceled:
+		return fromClient
+	default:
+		return fromWorker
+	}
+}
+
+// reordered returns events in a random order that keeps those of each source in theirs.
+func (w *simWorld) reordered(events []Event) []Event {
+	bySource := make(map[eventSource][]Event)
+	var sources []eventSource
+	for _, e := range events {
+		from := sourceOf(e)
+		bySource[from] = append(bySource[from], e)
+		sources = append(sources, from)
+	}
+	w.faultRand.Shuffle(len(sources), func(a, b int) { sources[a], sources[b] = sources[b], sources[a] })
+	var out []Event
+	for _, from := range sources {
+		out = append(out, bySource[from][0])
+		bySource[from] = bySource[from][1:]
+	}
+	return out
+}
+
+func (i *simInstance) stepWith(events []Event) {
+	i.steppedAt = i.w.now
 	now := simEpoch.Add(i.w.now)
 	if i.w.onStep != nil {
 		i.w.onStep(i)
