scheduler: a newly listed run is no sign of life of its instance

What callers saw: a task with two runs at once, where the instance of the first one had not been heard by the worker's owner.

Cause: a run that a list has and the one before had not counted as a sign of life of its instance at the time of the list. Its start was sent up to a poll earlier, and the instance may have ended right after it. Its runs were kept up for longer than its client waits.

Change: a newly listed run delays the stop of its instance's runs as before, but extends no lease.

The other tests of the package pass as before.

--- a/internal/core/scheduler/admission.go
+++ b/internal/core/scheduler/admission.go
@@ -149,6 +149,13 @@
 	return b
 }
 
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // handleCallCanceled removes a caller and closes its job if no other one waits.
 func (s *Scheduler) handleCallCanceled(e CallCanceled) {
 	j := s.jobsByCall[e.Call]
--- a/internal/core/scheduler/peer.go
+++ b/internal/core/scheduler/peer.go
@@ -29,15 +29,16 @@
 	// isOwner is set while the peer is one of the scheduler's owners.
 	isOwner bool
 	// lastSeen is when the newest message or heartbeat of the peer was sent, as dater dates
-	// it, or when a worker first listed its newest run; zero if never.
+	// it; zero if there was none.
 	lastSeen time.Time
 	dater    *dater.Dater
 	// lateLoggedAt is when a late message of the peer was last logged.
 	lateLoggedAt time.Time
 	// replaced is set once another incarnation runs at the peer's address.
 	replaced bool
-	// listedAt is when a worker first listed a run of the peer.
-	listedAt time.Time
+	// listedAt is when a worker first listed a run of the peer, and newRunAt when one listed
+	// a run that was not there before; zero if never.
+	listedAt, newRunAt time.Time
 	// freeCores has, by service, the free capacity of each of the peer's workers, as
 	// last advertised, less the reservations requested since. It was sent at
 	// advertisedAt and is believed until then plus advertisedFor.
@@ -191,7 +192,7 @@
 		s.reviewLeases()
 	}
 	if known := s.peersByTag[tag]; known != nil && known.name == "" {
-		p.listedAt = known.listedAt
+		p.listedAt, p.newRunAt = known.listedAt, later(p.newRunAt, known.newRunAt)
 	}
 	p.runTag = tag
 	s.peersByTag[tag] = p
@@ -269,10 +270,10 @@
 		return false
 	case p.replaced:
 		return true
-	case p.lastSeen.IsZero():
+	case p.lastSeen.IsZero() && p.newRunAt.IsZero():
 		return s.silence(p.listedAt) >= unknownTagGrace
 	default:
-		return s.silence(p.lastSeen) >= orphanTimeout
+		return s.silence(later(p.lastSeen, p.newRunAt)) >= orphanTimeout
 	}
 }
 
@@ -285,8 +286,9 @@
 	return s.now.Sub(lastSeen)
 }
 
-// recordTagListed records that a worker lists a run with this tag. A new run is a
-// sign of life.
+// recordTagListed records that a worker lists a run with this tag. A new run delays the
+// stop of its instance's runs. It extends no lease, since the instance may have ended after
+// it had sent the start.
 func (s *Scheduler) recordTagListed(tag namer.RunTag, isNewRun bool) {
 	if tag == s.RunTag {
 		return
@@ -297,7 +299,7 @@
 		s.peersByTag[tag] = p
 	}
 	if isNewRun {
-		p.lastSeen = s.now
+		p.newRunAt = s.now
 	}
 }
 
@@ -325,7 +327,7 @@
 
 func (s *Scheduler) removeOldPeers() {
 	isOld := func(p *peer) bool {
-		return !p.isOwner && s.now.Sub(p.lastSeen) > peerRetention && s.now.Sub(p.advertisedAt) > peerRetention && s.now.Sub(p.listedAt) > peerRetention
+		return !p.isOwner && s.now.Sub(p.lastSeen) > peerRetention && s.now.Sub(p.advertisedAt) > peerRetention && s.now.Sub(later(p.listedAt, p.newRunAt)) > peerRetention
 	}
 	for name, p := range s.peers {
 		if isOld(p) {
