scheduler: leases are extended on a recent list only

What callers saw: a task with two runs at once, after the owner of a worker and the instance of a run there had died one after the other.

Cause: an instance with a run on another owner's worker polls it while that owner is silent. Since the worker had listed its runs to this instance once, in an earlier time of polling or of ownership, the first such poll extended the lease. What it had known of other instances' runs was discarded long ago, so a dead one's went on.

Change: an instance that ceases to poll a worker, or to own it, counts as not knowing its runs, and a poll extends the lease only if the list in force was requested in the last 0.4 s. An outdated list is requested again at once.

The other tests of the package pass as before.

Why it works: the instance of a run that a list lacks was alive after the list was requested, so that a lease extended within 0.4 s of that is as safe as one extended within 0.4 s of a message.

--- a/internal/core/scheduler/ownership.go
+++ b/internal/core/scheduler/ownership.go
@@ -71,12 +71,12 @@
 		s.handOverSpeed(w)
 	}
 	w.resetGuard()
+	w.runsListed = false
 	if !owned {
-		s.setForeignRuns(w, nil)
+		s.forgetForeignRuns(w)
 		s.trackRemoteWorker(w)
 		return
 	}
-	w.runsListed = false
 	w.nextPollAt = s.now
 	s.emit(Decision{Event: eventer.WorkerOwned, Worker: w.id, WaitingTasks: len(s.owners)})
 }
--- a/internal/core/scheduler/poll.go
+++ b/internal/core/scheduler/poll.go
@@ -50,9 +50,7 @@
 			return
 		}
 		if !s.shouldPoll(w) {
-			if len(w.foreignRuns) > 0 {
-				s.setForeignRuns(w, nil)
-			}
+			s.forgetForeignRuns(w)
 			return
 		}
 		if !w.runsListed {
@@ -67,17 +65,24 @@
 	w.pollInFlight = true
 	poll := Poll{Worker: w.id, AckSequence: w.ackedSequence(), Wait: longPollTime}
 	switch {
-	case !w.runsListed, w.owned && w.isUnclaimed(), s.isUnresponsive(w):
+	case !s.knowsRuns(w), w.owned && w.isUnclaimed(), s.isUnresponsive(w):
 		poll.Wait = 0
 	case w.hasWantedRuns():
 		poll.Wait = busyLongPollTime
 	}
-	if w.runsListed && w.hasWantedRuns() && !s.hasOrphanedRuns(w) {
+	if s.knowsRuns(w) && w.hasWantedRuns() && !s.hasOrphanedRuns(w) {
 		poll.LeaseUntil = s.leaseEnd(w)
 	}
 	s.emit(poll)
 }
 
+// knowsRuns reports whether the newest list of a worker's runs is recent enough to extend
+// their lease. The instance of a run that has started since was alive after the list was
+// requested, so the list is worth as much as a sign of life of that time.
+func (s *Scheduler) knowsRuns(w *worker) bool {
+	return w.runsListed && s.now.Sub(w.listRequestedAt) < peerTimeout
+}
+
 // hasWantedRuns reports whether a worker has runs that are to continue: wanted
 // runs of this instance, or any run of another.
 func (w *worker) hasWantedRuns() bool {
@@ -123,7 +128,7 @@
 	}
 	// A run that is missing from the last list of an owned worker has started since.
 	isTracked := w.owned && w.runsListed && s.now.Sub(w.lastSeen) < longPollTime+busyLongPollTime
-	if s.isUnresponsive(w) || !w.runsListed {
+	if s.isUnresponsive(w) || w.owned && !w.runsListed {
 		s.placementDue = true
 		s.emit(Decision{Event: eventer.WorkerReachable, Worker: w.id, Age: s.sinceLastSeen(w)})
 	}
@@ -132,6 +137,7 @@
 	}
 	w.endDelay = s.endDelay(w, &e)
 	w.lastSeen, w.suspected, w.crashed, w.failedPolls, w.runsListed = s.now, false, false, 0, true
+	w.listRequestedAt = e.SentAt
 	w.setClock(s.now, e.Clock)
 	s.recordClaim(w)
 	s.recordRestart(w, &e)
--- a/internal/core/scheduler/worker.go
+++ b/internal/core/scheduler/worker.go
@@ -35,8 +35,10 @@
 	// clockReading is the worker's clock as of clockReadAt.
 	clockReading namer.WorkerClockMillis
 	clockReadAt  time.Time
-	// runsListed is set once the incarnation has listed its runs.
-	runsListed bool
+	// runsListed is set once the incarnation has listed its runs, as long as foreignRuns are
+	// kept. The list is the response to a poll that was sent at listRequestedAt.
+	runsListed      bool
+	listRequestedAt time.Time
 	lastSeen   time.Time
 	// listedSequence is the highest sequence number of an ended run that the worker
 	// has listed.
@@ -351,6 +353,15 @@
 	w.leasableUntil = time.Time{}
 }
 
+// forgetForeignRuns discards what is known of the runs of other instances on a worker that
+// is not polled any more.
+func (s *Scheduler) forgetForeignRuns(w *worker) {
+	w.runsListed = false
+	if len(w.foreignRuns) > 0 {
+		s.setForeignRuns(w, nil)
+	}
+}
+
 // foreignRunSize returns the capacity that another instance's run is assumed to
 // use: the reserved size, or else the typical size, or else its measured use.
 func (s *Scheduler) foreignRunSize(f *foreignRun) Resources {
