follower: a key that is not text doesn't spoil the copies for peers

What callers would see: instances that don't read the worker list, or that are cut off from the store, stop following it. Each fetch of a copy fails while the sender holds one worker or one evacuation whose key is not UTF-8.

Cause: keys are CBOR text, which the decoder refuses as a whole if it is not UTF-8. The encoder and the store let it pass.

Copies of peers of an earlier version are decoded with such keys, which then name no worker.

Result: go test ./platform ./internal/edge/follower passes.

--- a/internal/edge/follower/copy.go
+++ b/internal/edge/follower/copy.go
@@ -27,6 +27,19 @@
 	configQueryKey = "config"
 )
 
+// copyDecoder decodes copies. It lets keys pass that are not UTF-8, which a peer of an
+// earlier version sends, so that they don't spoil the copy.
+var copyDecoder = newCopyDecoder()
+
+func newCopyDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		// The options are constant.
+		panic(err)
+	}
+	return mode
+}
+
 // StoreCopy is the response to a peer that fetches a copy: the configuration and the
 // records of the worker list that the peer doesn't have, and all evacuations.
 type StoreCopy struct {
@@ -155,7 +168,7 @@
 		return fmt.Errorf("fetch copy: %w", err)
 	}
 	var c StoreCopy
-	if err := cbor.Unmarshal(body, &c); err != nil {
+	if err := copyDecoder.Unmarshal(body, &c); err != nil {
 		return fmt.Errorf("decode copy: %w", err)
 	}
 	if c.NextOperatorOffset > 0 {
