--- a/internal/edge/requester/requester.go
+++ b/internal/edge/requester/requester.go
@@ -105,17 +105,6 @@
 	return out.Entries, nil
 }
 
-// GetList returns the platform's list of instances, workers and minions.
-func (r *Requester) GetList(ctx context.Context) (*describer.List, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	var out describer.List
-	if _, err := r.doRequest(ctx, sling.New().Base(r.platformURL).Get("/v1/list"), &out); err != nil {
-		return nil, err
-	}
-	return &out, nil
-}
-
 // AcquireLease asks a worker for a lease.
 func (r *Requester) AcquireLease(ctx context.Context, addr, holder string) (*describer.LeaseAnswer, error) {
 	var out describer.LeaseAnswer
