--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,7 @@
 	go test -run XXX -fuzz FuzzDecodeRecord -fuzztime 20s ./internal/wire/coder
 	go test -run XXX -fuzz FuzzDecodeRecords -fuzztime 20s ./platform
 	go test -run XXX -fuzz FuzzDecodeWorkerAnswers -fuzztime 20s ./platform
+	go test -run XXX -fuzz FuzzPrune -fuzztime 20s ./internal/wire/pruner
 
 # Runs the soak test of real processes with the given seeds, for example:
 # make soak SEED=100 COUNT=50.
