--- a/internal/core/scheduler/worker.go
+++ b/internal/core/scheduler/worker.go
@@ -39,7 +39,7 @@
 	// kept. The list is the response to a poll that was sent at listRequestedAt.
 	runsListed      bool
 	listRequestedAt time.Time
-	lastSeen   time.Time
+	lastSeen        time.Time
 	// listedSequence is the highest sequence number of an ended run that the worker
 	// has listed.
 	listedSequence int64
