--- a/internal/core/scheduler/lease_test.go
+++ b/internal/core/scheduler/lease_test.go
@@ -27,6 +27,9 @@
 	// longest is the longest time from the last step of an instance to the end of a run
 	// of it.
 	longest time.Duration
+	// decisive counts the overlaps by the last call that extended the lease of the older
+	// run beyond the time at which it was due to end.
+	decisive map[string]int
 }
 
 type tracedRun struct {
@@ -47,6 +50,7 @@
 	t := &leaseTracer{
 		w: w, names: make(map[namer.RunTag]string), aliveAt: make(map[namer.RunTag]time.Duration),
 		active: make(map[namer.TaskName][]tracedRun), calls: make(map[namer.Worker][]leaseCall),
+		decisive: make(map[string]int),
 	}
 	w.onStep = func(i *simInstance) { t.names[i.core.RunTag], t.aliveAt[i.core.RunTag] = i.core.Name, w.now }
 	w.onCall, w.onStart, w.onEnd = t.recordCall, t.recordStart, t.recordEnd
@@ -80,6 +84,7 @@
 	}
 	if len(runs) > 1 {
 		t.overlaps = append(t.overlaps, t.describe(r.key.task, runs))
+		t.decisive[t.decisiveCall(runs[0])]++
 	}
 }
 
@@ -97,6 +102,22 @@
 	t.active[r.key.task] = rest
 }
 
+// dueToEnd is the longest time from the last sign of life of an instance to the end of its
+// runs, by the design.
+const dueToEnd = peerTimeout + time.Duration(maxClockDrift*float64(defaultLease))
+
+// decisiveCall returns the last call that kept up a run for longer than was due.
+func (t *leaseTracer) decisiveCall(r tracedRun) string {
+	due := t.aliveAt[r.run.Tag()] + dueToEnd
+	call := "none"
+	for _, c := range t.calls[r.worker.id] {
+		if c.until > due {
+			call = c.call
+		}
+	}
+	return call
+}
+
 // describe says by which calls the runs of a task are kept up.
 func (t *leaseTracer) describe(task namer.TaskName, runs []tracedRun) string {
 	var b strings.Builder
@@ -104,7 +125,7 @@
 	for _, r := range runs {
 		alive := t.aliveAt[r.run.Tag()]
 		fmt.Fprintf(&b, "  run %d on %s from %v, sent by %s, of %s, which was last alive at %v; due to end at %v\n",
-			r.run, r.worker.id, r.startedAt, r.orderedBy, t.names[r.run.Tag()], alive, alive+peerTimeout+time.Duration(maxClockDrift*float64(defaultLease)))
+			r.run, r.worker.id, r.startedAt, r.orderedBy, t.names[r.run.Tag()], alive, alive+dueToEnd)
 		for _, c := range t.calls[r.worker.id] {
 			if c.at > alive+200*time.Millisecond {
 				fmt.Fprintf(&b, "    %v (+%v): %s of %s, lease until %v (+%v)\n", c.at, c.at-alive, c.call, c.by, c.until, c.until-alive)
@@ -121,6 +142,10 @@
 	brokenJob  = jobKind{kind: "broken", tasks: 1, runTime: 2400 * time.Millisecond, maxAttempts: 2, callerTimeout: 6 * time.Second}
 )
 
+// soleOwnerSite has an owner in each domain, so that no worker changes its owner while
+// that one lives.
+var soleOwnerSite = siteSize{domains: 4, instancesPerDomain: 1, workersPerDomain: 12}
+
 // leaseScenario is a way in which an instance is lost while its runs go on.
 type leaseScenario struct {
 	site siteSize
@@ -198,16 +223,20 @@
 	var failed []uint64
 	var first []string
 	var longest time.Duration
+	decisive := make(map[string]int)
 	for seed := range c.seeds {
 		tracer := c.run(seed)
 		longest = max(longest, tracer.longest)
+		for call, n := range tracer.decisive {
+			decisive[call] += n
+		}
 		if len(tracer.overlaps) > 0 {
 			if failed = append(failed, seed); first == nil {
 				first = tracer.overlaps
 			}
 		}
 	}
-	t.Logf("a run ended at most %v after the last step of its instance", longest)
+	t.Logf("a run ended at most %v after the last step of its instance; decisive calls of overlaps: %v", longest, decisive)
 	must.SliceEmpty(t, failed, must.Sprintf("seeds %v of %d; the first: %s", failed, c.seeds, strings.Join(first[:min(len(first), 2)], "\n")))
 }
 
@@ -291,22 +320,16 @@
 	// The pause delays the stop of the runs, which would hide the longer lease.
 	paused := func(w *simWorld, r *rand.Rand, lost *simInstance, at time.Duration) {
 		w.at(at, lost.kill)
-		w.freezeOthers(r, lost, at+2*time.Millisecond, at+10*time.Millisecond, 262*time.Millisecond, 300*time.Millisecond)
-	}
-	lossy := func(w *simWorld, r *rand.Rand, lost *simInstance, at time.Duration) {
-		paused(w, r, lost, at)
-		w.at(at+330*time.Millisecond, func() { w.lostResponseShare = 0.4 })
-		w.at(at+700*time.Millisecond, func() { w.lostResponseShare = 0 })
+		w.freezeOthers(r, lost, at+2*time.Millisecond, at+10*time.Millisecond, 300*time.Millisecond, 340*time.Millisecond)
 	}
 	standing := func(w *simWorld, r *rand.Rand, lost *simInstance, at time.Duration) {
 		paused(w, r, lost, at)
 		w.freezeOthers(r, lost, at+360*time.Millisecond, at+395*time.Millisecond, 60*time.Millisecond, 150*time.Millisecond)
 	}
 	checkAll(t, map[string]leaseScenario{
-		"no other fault":              {smallSite, 0, steady, 0, 16, 50, 30},
-		"owners were paused":          {smallSite, 0, paused, 0, 30, 70, 60},
-		"answers of workers are lost": {smallSite, 0, lossy, 0, 30, 70, 60},
-		"owners stand still":          {smallSite, 0, standing, 0, 30, 70, 60},
+		"no other fault":     {smallSite, 0, steady, 0, 16, 50, 30},
+		"owners were paused": {soleOwnerSite, 0, paused, 0, 30, 70, 60},
+		"owners stand still": {soleOwnerSite, 0, standing, 0, 30, 70, 60},
 	})
 }
 
@@ -318,8 +341,30 @@
 		w.at(at, lost.kill)
 		w.freezeOwners(r, at+200*time.Millisecond, at+600*time.Millisecond, 300*time.Millisecond, 700*time.Millisecond)
 	}
+	started := func(w *simWorld, r *rand.Rand, lost *simInstance, at time.Duration) {
+		for _, i := range w.instances {
+			w.at(at-3*time.Second, i.kill)
+			w.at(at-between(r, 2150*time.Millisecond, 2500*time.Millisecond), i.start)
+		}
+		w.at(at, lost.kill)
+		w.freezeOthers(r, lost, at+200*time.Millisecond, at+600*time.Millisecond, 250*time.Millisecond, 900*time.Millisecond)
+	}
+	// The pause delays the stop of the runs, which would hide the longer lease.
+	paused := func(w *simWorld, r *rand.Rand, lost *simInstance, at time.Duration) {
+		w.at(at, lost.kill)
+		w.freezeOwners(r, at+2*time.Millisecond, at+10*time.Millisecond, 300*time.Millisecond, 400*time.Millisecond)
+	}
+	lossy := func(w *simWorld, r *rand.Rand, lost *simInstance, at time.Duration) {
+		w.at(at, lost.kill)
+		w.freezeOthers(r, lost, at+2*time.Millisecond, at+10*time.Millisecond, 300*time.Millisecond, 340*time.Millisecond)
+		w.at(at+360*time.Millisecond, func() { w.lostResponseShare = 0.4 })
+		w.at(at+700*time.Millisecond, func() { w.lostResponseShare = 0 })
+	}
 	checkAll(t, map[string]leaseScenario{
-		"instances without workers": {unevenSite, 3, silent, 0, 30, 0, 60},
+		"owners are silent":           {unevenSite, 3, silent, 0, 30, 0, 60},
+		"the site has just started":   {smallSite, 0, started, 0, 30, 0, 60},
+		"runs are overdue":            {unevenSite, 3, paused, 40, 20, 0, 60},
+		"answers of workers are lost": {soleOwnerSite, 0, lossy, 0, 30, 70, 60},
 	})
 }
 
@@ -372,10 +417,10 @@
 // gone, and that stands still again then.
 func TestWakingInstanceDoesNotKeepUpAbandonedRuns(t *testing.T) {
 	wakes := func(w *simWorld, r *rand.Rand, lost *simInstance, at time.Duration) {
-		lost.cancelLag = 10 * time.Millisecond
+		lost.cancelLag = 30 * time.Millisecond
 		length := between(r, 700*time.Millisecond, 980*time.Millisecond)
 		lost.freeze(at, length)
-		lost.freeze(at+length+between(r, 10*time.Millisecond, 20*time.Millisecond), 2*time.Second)
+		lost.freeze(at+length+between(r, 5*time.Millisecond, 20*time.Millisecond), 2*time.Second)
 	}
 	checkAll(t, map[string]leaseScenario{
 		"owner":                    {smallSite, 0, wakes, 50, 0, 0, 60},
