--- a/internal/core/scheduler/lease_test.go
+++ b/internal/core/scheduler/lease_test.go
@@ -391,7 +391,7 @@
 // TestRunsEndAfterLossOfAllInstances guards against new owners that keep up the runs of
 // instances from before the loss, or take them for ended.
 func TestRunsEndAfterLossOfAllInstances(t *testing.T) {
-	restart := func(still bool) func(w *simWorld, r *rand.Rand, lost *simInstance, at time.Duration) {
+	restart := func(still bool) func(*simWorld, *rand.Rand, *simInstance, time.Duration) {
 		return func(w *simWorld, r *rand.Rand, _ *simInstance, at time.Duration) {
 			restartAt := between(r, 200*time.Millisecond, 1800*time.Millisecond)
 			for n, i := range w.instances {
@@ -416,7 +416,7 @@
 // heartbeat after standing still has its runs kept up before it knows which clients have
 // gone, and that stands still again then.
 func TestWakingInstanceDoesNotKeepUpAbandonedRuns(t *testing.T) {
-	wakes := func(w *simWorld, r *rand.Rand, lost *simInstance, at time.Duration) {
+	wakes := func(_ *simWorld, r *rand.Rand, lost *simInstance, at time.Duration) {
 		lost.cancelLag = 30 * time.Millisecond
 		length := between(r, 700*time.Millisecond, 980*time.Millisecond)
 		lost.freeze(at, length)
