--- a/internal/core/scheduler/lease_test.go
+++ b/internal/core/scheduler/lease_test.go
@@ -428,6 +428,30 @@
 	})
 }
 
+// TestRunsEndThoughInstancesStandStill guards against runs that outlive their instance on a
+// site that is short of processor time, for any of the causes above or another.
+func TestRunsEndThoughInstancesStandStill(t *testing.T) {
+	struggling := func(w *simWorld, r *rand.Rand, lost *simInstance, at time.Duration) {
+		for _, i := range w.instances {
+			for from := time.Second; from < at+2*time.Second; {
+				length := between(r, 60*time.Millisecond, 150*time.Millisecond)
+				if r.IntN(8) == 0 {
+					length = between(r, 250*time.Millisecond, 900*time.Millisecond)
+				}
+				i.freeze(from, length)
+				from += length + between(r, 20*time.Millisecond, 500*time.Millisecond)
+			}
+		}
+		w.at(at, lost.kill)
+		w.at(at+between(r, 200*time.Millisecond, 1800*time.Millisecond), lost.start)
+	}
+	checkAll(t, map[string]leaseScenario{
+		"all own workers":          {smallSite, 0, struggling, 10, 16, 20, 60},
+		"the lost one owns none":   {unevenSite, 3, struggling, 10, 16, 0, 60},
+		"one owner in each domain": {soleOwnerSite, 0, struggling, 10, 16, 20, 60},
+	})
+}
+
 // leaseEnds returns the ends of the leases that the actions ask for, on the worker's clock.
 func leaseEnds(actions []Action) []namer.WorkerClockMillis {
 	var out []namer.WorkerClockMillis
