--- a/internal/bench/soaker/outages.go
+++ b/internal/bench/soaker/outages.go
@@ -365,6 +365,7 @@
 	{"freeze", (*Outages).freezeSome},
 	{"reset", (*Outages).resetConnections},
 	{"throttle", (*Outages).throttle},
+	{"slow", (*Outages).killBesideSlow},
 }
 
 // disrupt runs disruptions in two series, which overlap.
@@ -471,6 +472,9 @@
 // or was killed.
 func (o *Outages) wakeAfterFreeze(rng *rand.Rand) {
 	first, second := o.draw(rng), o.draw(rng)
+	if rng.IntN(2) == 0 {
+		second = o.neighbor(first)
+	}
 	if first == second {
 		return
 	}
@@ -510,12 +514,43 @@
 
 // throttle takes the processor away from some instances for a part of each period.
 func (o *Outages) throttle(rng *rand.Rand) {
-	chosen := append([]*pausable(nil), o.fleet...)
-	rng.Shuffle(len(chosen), func(i, j int) { chosen[i], chosen[j] = chosen[j], chosen[i] })
-	chosen = chosen[:1+rng.IntN(len(chosen))]
+	chosen := o.drawSome(rng, 1+rng.IntN(len(o.fleet)))
 	time.Sleep(between(rng, 0, 0.5))
 	o.note("throttle %d instances", len(chosen))
-	end := time.Now().Add(between(rng, 1, 4))
+	o.takeProcessor(rng, chosen, throttleTime, time.Now().Add(between(rng, 1, 4)))
+	o.note("throttle ends")
+}
+
+// killBesideSlow makes some instances so slow that they handle messages late, and kills or
+// freezes others meanwhile.
+func (o *Outages) killBesideSlow(rng *rand.Rand) {
+	chosen := o.drawSome(rng, 5)
+	slow, lost := chosen[:3], chosen[3:]
+	busy := time.Duration(80+rng.IntN(16)) * time.Millisecond
+	o.note("slow: %s %s %s are stopped for %v of each %v", slow[0].name, slow[1].name, slow[2].name, busy, throttlePeriod)
+	var wg sync.WaitGroup
+	end := time.Now().Add(between(rng, 3, 5))
+	slowRng := rand.New(rand.NewPCG(rng.Uint64(), 0))
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		o.takeProcessor(slowRng, slow, busy, end)
+	}()
+	time.Sleep(between(rng, 0.3, 1.5))
+	var killed []*pausable
+	for _, p := range lost {
+		if p.kill() {
+			o.note("slow: kill %s", p.name)
+			killed = append(killed, p)
+		}
+	}
+	wg.Wait()
+	o.note("slow: ends")
+	o.startAll(killed)
+}
+
+// takeProcessor stops each of the instances for busy of each period until end.
+func (o *Outages) takeProcessor(rng *rand.Rand, chosen []*pausable, busy time.Duration, end time.Time) {
 	var wg sync.WaitGroup
 	for _, p := range chosen {
 		offset := between(rng, 0, throttlePeriod.Seconds())
@@ -525,14 +560,30 @@
 			time.Sleep(offset)
 			for time.Now().Before(end) {
 				p.pause()
-				time.Sleep(throttleTime)
+				time.Sleep(busy)
 				p.resume()
-				time.Sleep(throttlePeriod - throttleTime)
+				time.Sleep(throttlePeriod - busy)
 			}
 		}()
 	}
 	wg.Wait()
-	o.note("throttle ends")
+}
+
+// drawSome returns count different instances.
+func (o *Outages) drawSome(rng *rand.Rand, count int) []*pausable {
+	chosen := append([]*pausable(nil), o.fleet...)
+	rng.Shuffle(len(chosen), func(i, j int) { chosen[i], chosen[j] = chosen[j], chosen[i] })
+	return chosen[:count]
+}
+
+// neighbor returns the other instance of an instance's domain.
+func (o *Outages) neighbor(p *pausable) *pausable {
+	for _, other := range o.fleet {
+		if other != p && other.domain == p.domain {
+			return other
+		}
+	}
+	return p
 }
 
 func (o *Outages) reportViolation(format string, args ...any) {
