scheduler: an owner that wakes starts nothing by a list from before its pause

Cause: the answer to a poll that lay in the socket of an owner that stood still was taken for the worker's present state. The worker may have had another owner meanwhile, with runs of instances that have died since; a start extends their lease.

Evidence: TestNoStartOnListFromBeforePause failed and holds. runForeign, which several tests use, now has the worker list its runs again after a pause; what the tests check is unchanged. With a limit of 0.4 s on the age of all lists instead (trial), TestDataRacks failed: a long poll makes lists 0.6 s old.

--- a/internal/core/scheduler/obstacle.go
+++ b/internal/core/scheduler/obstacle.go
@@ -64,7 +64,7 @@
 	switch {
 	case !w.listed:
 		return obstacleUnlisted
-	case !w.runsListed:
+	case !s.hasListedRuns(w):
 		return obstacleUnknownRuns
 	case w.isUnclaimed():
 		return obstacleUnclaimed
--- a/internal/core/scheduler/poll.go
+++ b/internal/core/scheduler/poll.go
@@ -76,11 +76,17 @@
 	s.emit(poll)
 }
 
-// knowsRuns reports whether the newest list of a worker's runs is recent enough to extend
-// their lease. The instance of a run that has started since was alive after the list was
+// hasListedRuns reports whether a worker has listed its runs in response to a poll that was
+// sent after the last pause of this instance, during which it may have had another owner.
+func (s *Scheduler) hasListedRuns(w *worker) bool {
+	return w.runsListed && !w.listRequestedAt.Before(s.resumedAt)
+}
+
+// knowsRuns reports whether the list of a worker's runs is recent enough to extend their
+// lease. The instance of a run that has started since was alive after the list was
 // requested, so the list is worth as much as a sign of life of that time.
 func (s *Scheduler) knowsRuns(w *worker) bool {
-	return w.runsListed && s.now.Sub(w.listRequestedAt) < peerTimeout
+	return s.hasListedRuns(w) && s.now.Sub(w.listRequestedAt) < peerTimeout
 }
 
 // hasWantedRuns reports whether a worker has runs that are to continue: wanted
--- a/internal/core/scheduler/reservation.go
+++ b/internal/core/scheduler/reservation.go
@@ -397,7 +397,7 @@
 	if i < 0 || w.reservations[i].starting || s.withholdStart(p, w, key) {
 		return
 	}
-	if !s.admitsStarts(w) || s.hasOrphanedRuns(w) {
+	if !s.admitsStarts(w) || !s.hasListedRuns(w) || s.hasOrphanedRuns(w) {
 		w.reservations = slices.Delete(w.reservations, i, i+1)
 		out := s.outboxOf(p)
 		out.StartReports = append(out.StartReports, StartReport{order, StartNotSent})
--- a/internal/core/scheduler/reservation_test.go
+++ b/internal/core/scheduler/reservation_test.go
@@ -278,3 +278,34 @@
 		})
 	}
 }
+
+// TestNoStartOnListFromBeforePause guards against an owner that wakes and starts tasks by a
+// list that lay in its socket: the worker may have got runs from another owner since, whose
+// lease the start would extend.
+func TestNoStartOnListFromBeforePause(t *testing.T) {
+	job := JobSubmitted{Call: 1, Job: JobSpec{
+		Name: "c", Kind: "short", Service: "s", MaxAttempts: 2, ObjectiveFactor: 1.6, ObjectiveBase: time.Second, CallerTimeout: time.Second,
+		Steps: []StepSpec{{Count: 1, Size: Resources{Cores: 1000}, EstimatedRunTime: 50 * time.Millisecond}},
+	}}
+	const pause = 2 * time.Second
+	cases := map[string]struct {
+		// requestedAt is when the list was requested, from the beginning of the pause.
+		requestedAt time.Duration
+		started     bool
+	}{
+		"requested before the pause": {0, false},
+		"requested after the pause":  {pause, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s, frozenAt := newOwner()
+			heartbeat := ownerHeartbeat(0, "d0")
+			heartbeat.Draining = true
+			now := frozenAt.Add(pause)
+			s.Step(now, 1, []Event{heartbeat})
+			now = now.Add(resumeDelay)
+			poll := PollResult{Worker: "w", SentAt: frozenAt.Add(c.requestedAt), BootTime: 1, Clock: 2000}
+			must.Eq(t, c.started, len(startsOf(s.Step(now, 1, []Event{heartbeat, poll, job}))) == 1)
+		})
+	}
+}
--- a/internal/core/scheduler/speed_test.go
+++ b/internal/core/scheduler/speed_test.go
@@ -110,7 +110,7 @@
 	s.Step(now, 1, []Event{heartbeat, request})
 	s.Step(now, 1, []Event{order})
 	s.Step(now, 1, []Event{StartResult{Worker: "w", Task: task, Run: run, Status: StartAccepted, Clock: 2}})
-	sentAt := now
+	sentAt, paused := now, gap > 0
 	for until := now.Add(runTime); now.Before(until); {
 		now = now.Add(10 * time.Millisecond)
 		if gap > 0 {
@@ -123,6 +123,10 @@
 		sentAt = now
 	}
 	s.Step(now, 1, []Event{PollResult{Worker: "w", SentAt: sentAt, BootTime: 1, Clock: 3, Ended: []EndedRun{{Sequence: int64(n + 1), Task: task, Run: run}}}})
+	if paused {
+		// After a pause the worker gets no start before it has listed its runs again.
+		s.Step(now, 1, []Event{PollResult{Worker: "w", SentAt: now, BootTime: 1, Clock: 3}})
+	}
 	return now.Add(resumeDelay)
 }
 
