registrar: a pause is not added to times after it; relayed states are dated by their heartbeat

An instance that wakes handles its heartbeats, and then moved their times by the length of the pause, into the future: it took a dead owner for live for as long as it had stood still.

A state that an owner relays was dated from when the relay was handled, so that one which lay in a socket replaced a newer one. It is dated from when it was sent.

--- a/internal/core/registrar/registrar.go
+++ b/internal/core/registrar/registrar.go
@@ -237,7 +237,7 @@
 // backwards between calls.
 func (r *Registrar) Step(now time.Time) []Transmission {
 	if pause := now.Sub(r.steppedAt); pause >= PauseThreshold {
-		r.excludePause(pause)
+		r.excludePause(now, pause)
 	}
 	r.now, r.steppedAt = now, now
 	if now.Sub(r.lastCheck) >= checkInterval {
@@ -259,12 +259,12 @@
 }
 
 // excludePause moves the times of the last signs of life by the length of a pause,
-// during which this instance did not listen.
-func (r *Registrar) excludePause(pause time.Duration) {
+// during which this instance did not listen. What has been handled since then is news.
+func (r *Registrar) excludePause(now time.Time, pause time.Duration) {
 	for _, m := range r.sorted {
 		for _, t := range []*time.Time{&m.heardAt, &m.relayedAt, &m.aliveAt} {
 			if !t.IsZero() {
-				*t = t.Add(pause)
+				*t = earlier(t.Add(pause), now)
 			}
 		}
 	}
@@ -347,20 +347,21 @@
 		r.heard[m.name] = true
 		r.notices = append(r.notices, Notice{Event: eventer.PeerReachable, Peer: m.name})
 	}
-	r.handleOwnerSummaries(h.Owners)
+	r.handleOwnerSummaries(sentAt, h.Owners)
 	r.handleMemberSummaries(h.Members)
 	return true
 }
 
-// handleOwnerSummaries records the state of owners of other domains.
-func (r *Registrar) handleOwnerSummaries(owners []OwnerSummary) {
+// handleOwnerSummaries records the state of owners of other domains, as of a heartbeat that
+// was sent at heartbeatAt.
+func (r *Registrar) handleOwnerSummaries(heartbeatAt time.Time, owners []OwnerSummary) {
 	for i := range owners {
 		o := &owners[i]
 		if o.Addr == r.Addr || o.Domain == r.Domain || !o.Addr.Is4() || o.Age < 0 {
 			continue
 		}
 		m := r.addMember(o.Addr)
-		sentAt := r.now.Add(-o.Age)
+		sentAt := heartbeatAt.Add(-o.Age)
 		if m.formerName == o.Name || !sentAt.After(m.lastState()) {
 			continue
 		}
@@ -570,6 +571,13 @@
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
--- a/internal/core/registrar/registrar_test.go
+++ b/internal/core/registrar/registrar_test.go
@@ -288,3 +288,29 @@
 }
 
 func testAddr(n int) netip.Addr { return netip.AddrFrom4([4]byte{10, 9, 0, byte(n)}) }
+
+// TestOwnerDiesAfterPause guards against a pause of this instance that is added to times
+// which are later than the pause: a dead owner would count as live for as long.
+func TestOwnerDiesAfterPause(t *testing.T) {
+	r := New(Settings{Name: "this", Addr: testAddr(1), Domain: "d", CPULimit: 400}, nil, simEpoch)
+	at := func(d time.Duration) time.Time { return simEpoch.Add(d) }
+	h := &Heartbeat{Name: "e", SourceAddr: testAddr(2), Domain: "d", RunTag: 2, Interval: 100 * time.Millisecond, Owner: true, CPULimit: 400}
+	const interval, pauseEnd, diesAt = 50 * time.Millisecond, 12 * time.Second, 13 * time.Second
+	beat := func(from, until time.Duration) {
+		for d := from; d < until; d += interval {
+			r.HandleHeartbeat(at(d), at(d), h)
+			r.Step(at(d))
+		}
+	}
+	beat(0, 2*time.Second)
+	owners, _ := r.TakeOwners()
+	must.Len(t, 1, owners)
+	beat(pauseEnd, diesAt)
+	d := diesAt
+	for silent := false; !silent && d < time.Minute; d += interval {
+		r.Step(at(d))
+		owners, changed := r.TakeOwners()
+		silent = changed && len(owners) == 0
+	}
+	must.LessEq(t, time.Second, d-diesAt)
+}
--- a/internal/core/scheduler/peer.go
+++ b/internal/core/scheduler/peer.go
@@ -138,7 +138,7 @@
 	s.setPeerLoad(p, h.Load)
 	p.advertisedAt, p.advertisedFor = sentAt, max(ownerTimeout, time.Duration(advertisedIntervals*float64(h.Interval)))
 	for i := range h.Owners {
-		s.handleOwnerSummary(&h.Owners[i])
+		s.handleOwnerSummary(sentAt, &h.Owners[i])
 	}
 }
 
@@ -159,11 +159,11 @@
 	}
 }
 
-// handleOwnerSummary processes the relayed state of an owner. It is no sign of life as
+// handleOwnerSummary processes the state of an owner that was relayed in a heartbeat. It is no sign of life as
 // far as the owner's runs are concerned.
-func (s *Scheduler) handleOwnerSummary(o *registrar.OwnerSummary) {
+func (s *Scheduler) handleOwnerSummary(heartbeatAt time.Time, o *registrar.OwnerSummary) {
 	p := s.peerNamed(o.Name)
-	sentAt := s.now.Add(-o.Age)
+	sentAt := heartbeatAt.Add(-o.Age)
 	if o.Name == s.Name || o.Age < 0 || !sentAt.After(p.advertisedAt) {
 		return
 	}
@@ -309,7 +309,7 @@
 	for i := range w.foreignRuns {
 		f := &w.foreignRuns[i]
 		p := s.peersByTag[f.Run.Tag()]
-		if !f.listed || f.outlives || p == nil {
+		if !f.listed || f.outlives || p == nil || !s.hasListedRuns(w) {
 			continue
 		}
 		aliveAt := p.lastSeen
