scheduler: old start orders are declined

Cause: an order that waited for an owner which stood still was carried out with a whole lease from then on, though its reservation had expired and its instance might have ended. A start on its way did not count as a run of its instance either.

Change: the owner declines an order after its reservation's time, or of a peer that is not alive, and says so with a status of its own. Starts on their way count as runs when a lease is to be extended.

Evidence: TestLateOrderIsDeclined; the order was carried out before.

--- a/internal/core/scheduler/event.go
+++ b/internal/core/scheduler/event.go
@@ -79,6 +79,9 @@
 	// StartFenced means that another instance has claimed the worker, so the run does
 	// not exist and never will.
 	StartFenced
+	// StartDeclined means that the owner of the worker has not sent the start, because the
+	// order came too late, or the start would extend the lease of runs of a silent instance.
+	StartDeclined
 )
 
 // StartResult is the result of a Start.
--- a/internal/core/scheduler/lease_test.go
+++ b/internal/core/scheduler/lease_test.go
@@ -548,9 +548,9 @@
 	}
 }
 
-// TestListedRunDatesFromPreviousList guards against a run that was ordered before its
+// TestListedRunExtendsNoLease guards against a run that was ordered before its
 // instance was lost, and counts as a sign of life when a long poll lists it.
-func TestListedRunDatesFromPreviousList(t *testing.T) {
+func TestListedRunExtendsNoLease(t *testing.T) {
 	s, listedAt := newOwner()
 	at := func(d time.Duration) time.Time { return listedAt.Add(d * time.Millisecond) }
 	started := []ActiveRun{{Task: namer.TaskName{Job: "a"}, Run: 1<<20 | 2, Cores: 6000}}
--- a/internal/core/scheduler/reservation.go
+++ b/internal/core/scheduler/reservation.go
@@ -382,9 +382,8 @@
 	}
 }
 
-// handleStartOrder starts a peer's task on the worker that is reserved for it, unless the
-// worker is draining and it is too late for a start, or the start would extend the lease
-// of runs whose instance has fallen silent since. An order
+// handleStartOrder starts a peer's task on the worker that is reserved for it, unless it
+// declines that. An order
 // without a reservation is ignored: the reservation has expired, or the order was
 // repeated. The peer finds out from the worker's runs.
 func (s *Scheduler) handleStartOrder(p *peer, order RunRef, payload string) {
@@ -397,20 +396,29 @@
 	if i < 0 || w.reservations[i].starting || s.withholdStart(p, w, key) {
 		return
 	}
-	if !s.admitsStarts(w) || !s.hasListedRuns(w) || s.hasOrphanedRuns(w) {
+	if s.declinesOrder(p, w, &w.reservations[i]) {
 		w.reservations = slices.Delete(w.reservations, i, i+1)
+		s.placementDue = true
 		out := s.outboxOf(p)
-		out.StartReports = append(out.StartReports, StartReport{order, StartNotSent})
+		out.StartReports = append(out.StartReports, StartReport{order, StartDeclined})
 		return
 	}
 	until := s.leaseEnd(w)
-	w.reservations[i].starting, w.reservations[i].startableUntil = true, until
+	w.reservations[i].starting, w.reservations[i].startableUntil, w.leasableUntil = true, until, time.Time{}
 	s.orderedStarts[key] = p
 	s.emit(Start{
 		Worker: w.id, Task: order.Task, Run: order.Run, Payload: payload, LeaseUntil: until, Timeout: s.startTimeout(),
 	})
 }
 
+// declinesOrder reports whether a start that a peer has ordered on a reservation must not be
+// sent: the order is old, the worker is draining, or the start would extend the lease of
+// runs that are unknown or of a silent instance.
+func (s *Scheduler) declinesOrder(p *peer, w *worker, r *reservation) bool {
+	isOld := s.now.After(r.expiresAt) || s.now.Sub(p.lastSeen) >= peerTimeout
+	return isOld || !s.admitsStarts(w) || !s.hasListedRuns(w) || s.hasOrphanedRuns(w)
+}
+
 // handleOrderedStartResult reports the result of a start to the peer that ordered it,
 // and replaces the reservation by the run. A start without a response may have taken
 // effect.
--- a/internal/core/scheduler/reservation_test.go
+++ b/internal/core/scheduler/reservation_test.go
@@ -309,3 +309,29 @@
 		})
 	}
 }
+
+// TestLateOrderIsDeclined guards against an order that has waited for its owner: the
+// instance may have ended since, and the start would get a whole lease from now.
+func TestLateOrderIsDeclined(t *testing.T) {
+	const run = namer.RunID(1<<20 | 2)
+	for name, c := range map[string]struct {
+		after   time.Duration
+		started bool
+	}{
+		"in time":                     {reservationTime - 10*time.Millisecond, true},
+		"the reservation has expired": {reservationTime + 10*time.Millisecond, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, now := newOwner()
+			must.Eq(t, []namer.Worker{"w"}, reservedWorkers(s.Step(now, 1, []Event{reserveRequest(0, run, 9000)})))
+			actions := s.Step(now.Add(c.after), 1, []Event{startOrder(0, run)})
+			must.Eq(t, c.started, len(startsOf(actions)) == 1)
+			declined := false
+			for _, a := range actions {
+				m, isMessage := a.(SendMessage)
+				declined = declined || isMessage && len(m.Message.StartReports) == 1 && m.Message.StartReports[0].Status == StartDeclined
+			}
+			must.Eq(t, !c.started, declined)
+		})
+	}
+}
--- a/internal/core/scheduler/run.go
+++ b/internal/core/scheduler/run.go
@@ -148,6 +148,7 @@
 	StartNotSent:          "no connection",
 	StartWithheld:         "domain is evacuated",
 	StartFenced:           "another instance has claimed the worker",
+	StartDeclined:         "declined by the owner of the worker",
 }
 
 // markInDoubt handles a start without a response. It polls the worker: if the run
--- a/internal/core/scheduler/worker.go
+++ b/internal/core/scheduler/worker.go
@@ -53,7 +53,8 @@
 	foreignRuns []foreignRun
 	// reservations hold capacity for starts of peers.
 	reservations []reservation
-	// leasableUntil is a time until which the instances of all foreign runs count as live.
+	// leasableUntil is a time until which the instances of all foreign runs and of the starts
+	// in flight count as live.
 	leasableUntil time.Time
 	// ownUsage and foreignUsage are the capacity used by both groups of runs.
 	ownUsage     Resources
@@ -375,12 +376,20 @@
 }
 
 // hasOrphanedRuns reports whether a worker has runs of an instance that does not count as
-// live. Nothing may extend the lease of the worker then, since a lease covers all runs.
+// live, or starts of such runs on their way. Nothing may extend the lease of the worker then, since a lease covers all runs.
 func (s *Scheduler) hasOrphanedRuns(w *worker) bool {
-	if len(w.foreignRuns) == 0 || s.now.Before(w.leasableUntil) {
+	if len(w.foreignRuns)+len(w.reservations) == 0 || s.now.Before(w.leasableUntil) {
 		return false
 	}
 	until := s.now.Add(peerTimeout)
+	for i := range w.reservations {
+		if r := &w.reservations[i]; r.starting {
+			until = earlier(until, s.liveUntil(r.key.run.Tag()))
+		}
+	}
+	if !s.now.Before(until) {
+		return true
+	}
 	for i := range w.foreignRuns {
 		if until = earlier(until, s.liveUntil(w.foreignRuns[i].Run.Tag())); !s.now.Before(until) {
 			return true
