--- a/internal/core/scheduler/reservation.go
+++ b/internal/core/scheduler/reservation.go
@@ -382,8 +382,8 @@
 	}
 }
 
-// handleStartOrder starts a peer's task on the worker that is reserved for it, unless it
-// declines that. An order
+// handleStartOrder starts a peer's task on the worker that is reserved for it, unless the
+// worker is draining and it is too late for a start, or it declines the order. An order
 // without a reservation is ignored: the reservation has expired, or the order was
 // repeated. The peer finds out from the worker's runs.
 func (s *Scheduler) handleStartOrder(p *peer, order RunRef, payload string) {
@@ -396,11 +396,16 @@
 	if i < 0 || w.reservations[i].starting || s.withholdStart(p, w, key) {
 		return
 	}
-	if s.declinesOrder(p, w, &w.reservations[i]) {
+	isLate := !s.admitsStarts(w)
+	if isLate || s.declinesOrder(p, w, &w.reservations[i]) {
+		status := StartDeclined
+		if isLate {
+			status = StartNotSent
+		}
 		w.reservations = slices.Delete(w.reservations, i, i+1)
 		s.placementDue = true
 		out := s.outboxOf(p)
-		out.StartReports = append(out.StartReports, StartReport{order, StartDeclined})
+		out.StartReports = append(out.StartReports, StartReport{order, status})
 		return
 	}
 	until := s.leaseEnd(w)
@@ -412,11 +417,11 @@
 }
 
 // declinesOrder reports whether a start that a peer has ordered on a reservation must not be
-// sent: the order is old, the worker is draining, or the start would extend the lease of
-// runs that are unknown or of a silent instance.
+// sent: the order is old, or the start would extend the lease of runs that are unknown or
+// of a silent instance.
 func (s *Scheduler) declinesOrder(p *peer, w *worker, r *reservation) bool {
 	isOld := s.now.After(r.expiresAt) || s.now.Sub(p.lastSeen) >= peerTimeout
-	return isOld || !s.admitsStarts(w) || !s.hasListedRuns(w) || s.hasOrphanedRuns(w)
+	return isOld || !s.hasListedRuns(w) || s.hasOrphanedRuns(w)
 }
 
 // handleOrderedStartResult reports the result of a start to the peer that ordered it,
