scheduler: a start is for one incarnation of a worker

Seen by callers: a task had two runs at a time.

Cause: workers that check their capacity were called with the same fence in all incarnations, and the new one knows of no stop.

Change: their calls carry the fence of the incarnation's boot time. An owner that finds a new incarnation polls it under that fence at once, and a run counts as ended only after a list in response to that fence.

--- a/internal/core/scheduler/guard.go
+++ b/internal/core/scheduler/guard.go
@@ -57,10 +57,13 @@
 	requestedAt time.Time
 }
 
-// WorkerFence tells an instance with runs on a worker the fence that its calls need.
+// WorkerFence tells an instance the fence that its calls to a worker need.
 type WorkerFence struct {
 	Worker namer.Worker `cbor:"1,keyasint"`
-	Fence  namer.Fence  `cbor:"2,keyasint"`
+	// Fence is that of a claim; zero if there is none.
+	Fence namer.Fence `cbor:"2,keyasint"`
+	// BootTime is that of the newest incarnation known; zero if unknown.
+	BootTime namer.UnixMillis `cbor:"3,keyasint,omitempty"`
 }
 
 // RunSize tells the owner of a worker the size of a run.
@@ -122,7 +125,7 @@
 // lower one is not waited for.
 func (s *Scheduler) claim(w *worker) {
 	s.lastRunCount++
-	w.guard.fence = namer.NewFence(max(s.lastRunCount+w.guard.lead, w.guard.fence.Count()+1), s.RunTag)
+	w.guard.fence = namer.NewFence(max(s.lastRunCount+w.guard.lead, s.callFence(w).Count()+1), s.RunTag)
 	w.guard.claiming, w.guard.claimedAt = true, s.now
 	if w.pollInFlight {
 		s.sendImmediatePoll(w)
@@ -159,8 +162,11 @@
 
 // handleFenced handles a call that a worker has rejected because of its fence.
 func (s *Scheduler) handleFenced(w *worker, fence namer.Fence) {
-	s.guardWorker(w)
-	if fence < w.guard.fence {
+	if fence < s.callFence(w) {
+		return
+	}
+	if !w.guard.needed {
+		s.handleRefusal(w)
 		return
 	}
 	if !w.owned {
@@ -207,18 +213,32 @@
 	out.FenceRequests = append(out.FenceRequests, w.id)
 }
 
-// handleFenceRequest tells a peer the fence of a worker that this instance has claimed.
+// handleFenceRequest tells a peer the boot time of a worker, and its fence if this
+// instance has claimed it.
 func (s *Scheduler) handleFenceRequest(p *peer, id namer.Worker) {
-	if w := s.workers[id]; w != nil && w.owned && w.guard.claimed {
+	w := s.workers[id]
+	if w == nil {
+		return
+	}
+	told := WorkerFence{Worker: w.id, BootTime: w.bootTime}
+	if w.owned && w.guard.claimed {
+		told.Fence = w.guard.fence
+	}
+	if told.Fence > 0 || told.BootTime > 0 {
 		out := s.outboxOf(p)
-		out.Fences = append(out.Fences, WorkerFence{w.id, w.guard.fence})
+		out.Fences = append(out.Fences, told)
 	}
 }
 
-// handleFence records the fence of a worker that a peer owns. That of an owned worker
-// is known better here.
+// handleFence records the boot time of a worker, and its fence if a peer owns it. That of
+// an owned worker is known better here.
 func (s *Scheduler) handleFence(f *WorkerFence) {
-	if w := s.workers[f.Worker]; w != nil && !w.owned {
+	w := s.workers[f.Worker]
+	if w == nil {
+		return
+	}
+	s.learnBootTime(w, f.BootTime)
+	if !w.owned {
 		s.learnFence(w, f.Fence)
 	}
 }
@@ -229,7 +249,7 @@
 		return
 	}
 	s.guardWorker(w)
-	w.guard.fence = fence
+	w.guard.fence, w.refusedAt = fence, time.Time{}
 }
 
 // requestSizes asks the instances with runs of unknown size on a worker for these.
@@ -329,7 +349,7 @@
 
 func (s *Scheduler) fenceOf(id namer.Worker) namer.Fence {
 	if w := s.workers[id]; w != nil {
-		return w.guard.fence
+		return s.callFence(w)
 	}
 	return 0
 }
--- a/internal/core/scheduler/guard_test.go
+++ b/internal/core/scheduler/guard_test.go
@@ -127,7 +127,7 @@
 		t.Run(name, func(t *testing.T) {
 			s, _ := newOwner()
 			w := s.newWorker("other")
-			s.handleFence(&WorkerFence{"other", c.told})
+			s.handleFence(&WorkerFence{Worker: "other", Fence: c.told})
 			must.Eq(t, c.want, w.guard.fence)
 		})
 	}
--- a/internal/core/scheduler/poll.go
+++ b/internal/core/scheduler/poll.go
@@ -35,6 +35,7 @@
 
 // sendPolls sends the polls that are due.
 func (s *Scheduler) sendPolls() {
+	s.forEachPolledWorker(s.followRefusal)
 	s.sendClaims()
 	initialPolls := 0
 	s.forEachPolledWorker(func(w *worker) {
@@ -43,7 +44,7 @@
 		}
 	})
 	s.forEachPolledWorker(func(w *worker) {
-		if w.pollInFlight || s.now.Before(w.nextPollAt) || !w.runsListed && initialPolls >= maxInitialPolls {
+		if w.isRefused() || w.pollInFlight || s.now.Before(w.nextPollAt) || !w.runsListed && initialPolls >= maxInitialPolls {
 			return
 		}
 		if w.owned && w.isUnclaimed() && !w.guard.claiming {
@@ -109,7 +110,9 @@
 	if e.Fenced {
 		s.handleFenced(w, e.Fence)
 		s.stopInDoubtRuns(w, e)
-		w.nextPollAt = s.now.Add(fenceRequestPause)
+		if e.Fence >= s.callFence(w) {
+			w.nextPollAt = s.now.Add(fenceRequestPause)
+		}
 		return
 	}
 	if e.NoResponse || e.WrongIncarnation {
@@ -118,6 +121,7 @@
 	}
 	if e.BootTime > w.bootTime {
 		s.resetIncarnation(w, e.BootTime)
+		s.tellBootTime(w)
 	}
 	if e.BootTime < w.bootTime && e.BootTime != 0 {
 		w.nextPollAt = s.now.Add(emptyPollPause)
@@ -137,6 +141,7 @@
 	}
 	w.endDelay = s.endDelay(w, &e)
 	w.lastSeen, w.suspected, w.crashed, w.failedPolls, w.runsListed = s.now, false, false, 0, true
+	w.refusedAt = time.Time{}
 	w.listRequestedAt = e.SentAt
 	w.setClock(s.now, e.Clock)
 	s.recordClaim(w)
@@ -148,6 +153,7 @@
 	}
 	w.nextPollAt = s.now
 	switch {
+	case !s.rejectsEarlierStarts(w, e.Fence):
 	case len(w.unackedEnds) > 0:
 		w.nextPollAt = s.now.Add(ackPause)
 	case !hasNewEnd && s.now.Sub(e.SentAt) < emptyPollPause:
@@ -171,6 +177,10 @@
 		return
 	}
 	w.nextPollAt = s.now.Add(min(pollBackoff<<min(w.failedPolls, 4), maxPollBackoff))
+	if e.Refused && s.mayGetLateStarts(w) {
+		// The new incarnation is to see its fence before they arrive.
+		w.nextPollAt = s.now.Add(pollBackoff)
+	}
 	w.failedPolls++
 }
 
@@ -338,9 +348,11 @@
 		s.placementDue = true
 	}
 	s.setForeignRuns(w, foreign)
+	// Until a call with the fence of the incarnation, starts for earlier ones may take effect.
+	mayStartLate := !s.rejectsEarlierStarts(w, e.Fence)
 	for _, r := range slices.Clone(w.ownRuns) {
 		switch {
-		case r.inLastPoll:
+		case r.inLastPoll, mayStartLate:
 		case !r.stopAckedAt.IsZero() && !e.SentAt.Before(r.stopAckedAt):
 			s.removeRun(r)
 		case r.confirmed && e.SentAt.After(r.startedAt):
--- a/internal/core/scheduler/run.go
+++ b/internal/core/scheduler/run.go
@@ -100,7 +100,7 @@
 		if w.crashed {
 			s.recordLostRun(w, RunRef{w.id, e.Task, e.Run})
 		}
-		w.suspected = true
+		w.suspected, w.unansweredAt = true, s.now
 		s.sendImmediatePoll(w)
 	case StartNotSent:
 		w.suspected = true
@@ -185,6 +185,9 @@
 // sendStops sends the stop requests that are due.
 func (s *Scheduler) sendStops() {
 	s.forEachPolledWorker(func(w *worker) {
+		if w.isRefused() {
+			return
+		}
 		for _, r := range w.ownRuns {
 			if !r.stopRequested || r.stopInFlight || s.now.Before(r.nextStopAt) {
 				continue
@@ -225,6 +228,9 @@
 
 // sendImmediatePoll polls a worker in addition to its pending long poll.
 func (s *Scheduler) sendImmediatePoll(w *worker) {
+	if w.isRefused() {
+		return
+	}
 	s.emit(Poll{Worker: w.id, AckSequence: w.ackedSequence(), OutOfBand: true})
 }
 
--- a/internal/core/scheduler/safety_test.go
+++ b/internal/core/scheduler/safety_test.go
@@ -146,8 +146,11 @@
 // their workers, which restart under the same id: a late start for an earlier incarnation
 // must not run beside another run of its task.
 func TestLateStartsAfterRestart(t *testing.T) {
-	for _, seed := range []uint64{5005, 5011, 5046, 5049} {
-		runFaultPair(t, "requests to workers are delayed", "workers get tasks that crash them", seed)
+	for seed := uint64(5000); seed < 5060; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runFaultPair(t, "requests to workers are delayed", "workers get tasks that crash them", seed)
+		})
 	}
 }
 
--- a/internal/core/scheduler/worker.go
+++ b/internal/core/scheduler/worker.go
@@ -69,6 +69,10 @@
 	// runs that were counted as lost then.
 	crashed  bool
 	lostRuns []RunRef
+	// refusedAt is when the worker has rejected the highest fence that is known here; zero
+	// if it has not. unansweredAt is when a start of this instance last got no response.
+	refusedAt    time.Time
+	unansweredAt time.Time
 	// runsBeforeRestart are the runs that were known when the worker turned out to have
 	// restarted, until the new incarnation has listed its runs.
 	runsBeforeRestart   []RunRef
@@ -283,6 +287,7 @@
 func (s *Scheduler) resetIncarnation(w *worker, bootTime namer.UnixMillis) {
 	first := w.bootTime == 0
 	w.bootTime, w.speed, w.speedReportsDue = bootTime, estimator.Speed{}, 0
+	w.refusedAt = time.Time{}
 	if first && !w.runsListed {
 		return
 	}
