scheduler: starts in doubt weigh less when a worker crashes

Cause: when a worker crashed, each run that may have been started there counted as lost, also one whose start had got no answer and was given up, stopped or replaced, and each foreign run, listed or not. Two of these failed the job.

Change: a run counts if the worker had shown that it exists. A start without an answer counts only if the worker has not listed its runs since and, if the crash shows as a refused connection, if the start was cut off before its timeout. The rule is at the top of crash.go. Crash reports carry the evidence.

--- a/internal/core/crashcounter/table_test.go
+++ b/internal/core/crashcounter/table_test.go
@@ -51,3 +51,39 @@
 	must.Eq(t, 0, table.Count(namer.TaskName{Job: "a"}))
 	must.Eq(t, 1, table.Count(namer.TaskName{Job: "a", Index: 2*maxRuns - 1}))
 }
+
+func TestEvidence(t *testing.T) {
+	task := namer.TaskName{Job: "a"}
+	cases := map[string]struct {
+		added []Evidence
+		isNew []bool
+		want  Evidence
+	}{
+		"seen":                   {[]Evidence{Seen}, []bool{true}, Seen},
+		"possible":               {[]Evidence{Possible}, []bool{true}, Possible},
+		"possible, then seen":    {[]Evidence{Possible, Seen}, []bool{true, true}, Seen},
+		"seen, then possible":    {[]Evidence{Seen, Possible}, []bool{true, false}, Seen},
+		"likely, then likely":    {[]Evidence{Likely, Likely}, []bool{true, false}, Likely},
+		"likely, possible, seen": {[]Evidence{Likely, Possible, Seen}, []bool{true, false, true}, Seen},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			table := New()
+			r := Run{task, 1}
+			for n, e := range c.added {
+				must.Eq(t, c.isNew[n], table.AddWith(time.Unix(1000, 0), r, e))
+			}
+			must.Eq(t, c.want, table.EvidenceOf(r))
+			must.Eq(t, 1, table.Count(task))
+			for _, e := range []Evidence{Seen, Likely, Possible} {
+				want := 0
+				if e == c.want {
+					want = 1
+				}
+				must.Eq(t, want, table.CountWith(task, e))
+			}
+			must.True(t, table.Remove(r))
+			must.MapEmpty(t, table.evidence)
+		})
+	}
+}
--- a/internal/core/scheduler/crash.go
+++ b/internal/core/scheduler/crash.go
@@ -13,10 +13,29 @@
 // could list, and its job may come back at any instance. So the owners of workers count
 // crashes by task and tell each other: a task that was on a crashed worker gets the
 // next one for itself, and its job fails once maxCrashes workers have crashed under it.
+//
+// A run counts as lost in a crash if its worker had shown that it existed (the start was
+// accepted, or a list of that life had the run), unless its end or an acknowledgment of its
+// stop was seen before. A start without an answer counts only if no list has arrived that
+// was requested after the start was given up: a worker that lists its runs has outlived the
+// start. If the crash shows as a refused connection, the start must also have been cut off
+// before its timeout: a process that crashes breaks its connections. If it shows as a later
+// life only, the machine may have gone without a sign, and a start that timed out counts
+// too. The instance that sent a start judges it; the one that ordered it hears of the crash
+// by a report. Such a start may still not have been carried out, as a worker may crash for
+// another reason while it holds one back. So a job fails after maxCrashesInDoubt crashes,
+// and after maxCrashes only if the runs were all seen, or the starts all cut off at once as
+// those of a task are that takes each worker along before it can answer.
 
 const (
-	// maxCrashes is the number of crashed workers after which a task is given up.
+	// maxCrashes is the number of workers that have crashed under runs that were seen, or
+	// under starts cut off at once, after which a task is given up.
 	maxCrashes = 2
+	// maxCrashesInDoubt replaces maxCrashes if some of the starts got no answer.
+	maxCrashesInDoubt = 3
+	// crashOnStartTime is how soon the connection breaks if a start crashes its worker: far
+	// sooner than starts time out while answers are late.
+	crashOnStartTime = minStartTimeout / 2
 	// Reports of crashes are sent crashReportSends times, since messages may be lost.
 	crashReportSends    = 3
 	crashReportInterval = 200 * time.Millisecond
@@ -42,18 +61,18 @@
 		return
 	}
 	w.crashed, w.lostRuns = true, nil
-	lost := w.startedRuns()
+	lost := w.lostInCrash(true)
 	s.emit(Decision{Event: eventer.WorkerCrashed, Worker: w.id, Tasks: len(lost), Age: s.sinceLastSeen(w)})
-	for _, r := range lost {
-		s.recordLostRun(w, r)
+	for i := range lost {
+		s.recordLostRun(w, &lost[i])
 	}
 }
 
 // recordRestart counts the runs from before a worker's restart as lost, unless the new
 // incarnation lists them: they may have started there before the restart was noticed.
 func (s *Scheduler) recordRestart(w *worker, e *PollResult) {
-	for _, r := range w.runsBeforeRestart {
-		if !e.lists(r.Task, r.Run) {
+	for i := range w.runsBeforeRestart {
+		if r := &w.runsBeforeRestart[i]; !e.lists(r.Task, r.Run) {
 			s.recordLostRun(w, r)
 		}
 	}
@@ -68,13 +87,13 @@
 
 // recordLostRun counts a crash of a worker for the task of a run. A draining worker may
 // have left instead.
-func (s *Scheduler) recordLostRun(w *worker, r RunRef) {
+func (s *Scheduler) recordLostRun(w *worker, r *CrashReport) {
 	if w.draining {
 		return
 	}
-	w.lostRuns = append(w.lostRuns, r)
+	w.lostRuns = append(w.lostRuns, r.RunRef)
 	if s.recordCrash(r) {
-		s.reportCrash(CrashReport{RunRef: r})
+		s.reportCrash(*r)
 	}
 }
 
@@ -95,25 +114,73 @@
 	}
 }
 
-// startedRuns returns the runs that may have started on a worker, as far as this
+// lostInCrash returns the runs that count as lost in a crash of a worker, as far as this
 // instance knows. A start without a result yet may turn out not to have been sent.
-func (w *worker) startedRuns() []RunRef {
-	var out []RunRef
+func (w *worker) lostInCrash(refused bool) []CrashReport {
+	var out []CrashReport
 	for _, r := range w.ownRuns {
-		if r.confirmed || r.inDoubt {
-			out = append(out, RunRef{w.id, r.taskID, r.number})
+		if r.confirmed && r.stopAckedAt.IsZero() || !r.confirmed && r.doubt.counts(refused) {
+			out = append(out, CrashReport{RunRef: RunRef{w.id, r.taskID, r.number}, Evidence: r.doubt.evidence(r.confirmed)})
 		}
 	}
 	for i := range w.foreignRuns {
-		out = append(out, RunRef{w.id, w.foreignRuns[i].Task, w.foreignRuns[i].Run})
+		f := &w.foreignRuns[i]
+		exists := f.listed || !f.startedAt.IsZero()
+		if exists || f.doubt.counts(refused) {
+			out = append(out, CrashReport{RunRef: RunRef{w.id, f.Task, f.Run}, Evidence: f.doubt.evidence(exists)})
+		}
 	}
 	return out
 }
 
+// startDoubt says what is known of a start without a response.
+type startDoubt int
+
+const (
+	// noDoubt means that the start was answered, or that the worker has outlived it.
+	noDoubt startDoubt = iota
+	// startTimedOut means that the worker has not answered in time.
+	startTimedOut
+	// startCutOff means that the connection broke before the timeout.
+	startCutOff
+	// startCutOffAtOnce means that it broke within crashOnStartTime.
+	startCutOffAtOnce
+)
+
+// evidence returns that of the crash of the worker for the run.
+func (d startDoubt) evidence(exists bool) crashcounter.Evidence {
+	switch {
+	case exists:
+		return crashcounter.Seen
+	case d == startCutOffAtOnce:
+		return crashcounter.Likely
+	default:
+		return crashcounter.Possible
+	}
+}
+
+// doubtAfter returns the doubt about a start without a response.
+func doubtAfter(latency, timeout time.Duration) startDoubt {
+	switch {
+	case latency >= timeout:
+		return startTimedOut
+	case latency > crashOnStartTime:
+		return startCutOff
+	default:
+		return startCutOffAtOnce
+	}
+}
+
+// counts reports whether the start counts as lost in a crash, which is seen by a refused
+// connection or else by a later life of the worker.
+func (d startDoubt) counts(refused bool) bool {
+	return d > startTimedOut || d == startTimedOut && !refused
+}
+
 // recordCrash counts a lost run, and fails the job if it was the last one that its task
 // may lose. It reports whether the run was not counted before.
-func (s *Scheduler) recordCrash(r RunRef) bool {
-	if !s.crashes.Add(s.now, crashcounter.Run{Task: r.Task, ID: r.Run}) {
+func (s *Scheduler) recordCrash(r *CrashReport) bool {
+	if !s.crashes.AddWith(s.now, crashcounter.Run{Task: r.Task, ID: r.Run}, r.Evidence) {
 		return false
 	}
 	s.emit(Decision{
@@ -130,7 +197,10 @@
 }
 
 // isGivenUp reports whether too many workers have crashed under a task.
-func (s *Scheduler) isGivenUp(t namer.TaskName) bool { return s.crashes.Count(t) >= maxCrashes }
+func (s *Scheduler) isGivenUp(t namer.TaskName) bool {
+	return s.crashes.Count(t) >= maxCrashesInDoubt ||
+		s.crashes.CountWith(t, crashcounter.Seen) >= maxCrashes || s.crashes.CountWith(t, crashcounter.Likely) >= maxCrashes
+}
 
 // giveUpTask fails the job of a task, or tells the peers whose requests for the task
 // wait here.
@@ -204,7 +274,7 @@
 func (s *Scheduler) sendAllCrashes(p *peer) {
 	for _, r := range s.crashes.Runs() {
 		out := s.outboxOf(p)
-		out.Crashes = append(out.Crashes, CrashReport{RunRef: RunRef{Task: r.Task, Run: r.ID}})
+		out.Crashes = append(out.Crashes, CrashReport{RunRef: RunRef{Task: r.Task, Run: r.ID}, Evidence: s.crashes.EvidenceOf(r)})
 	}
 }
 
@@ -214,7 +284,7 @@
 		s.withdrawCrash(report.RunRef)
 		return
 	}
-	s.recordCrash(report.RunRef)
+	s.recordCrash(report)
 }
 
 // forgetLostRuns removes the unwanted runs on workers that were removed long ago and do
--- a/internal/core/scheduler/crash_test.go
+++ b/internal/core/scheduler/crash_test.go
@@ -1,12 +1,14 @@
 package scheduler
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/heatherslip/heatherslip/internal/core/crashcounter"
 	"github.com/heatherslip/heatherslip/internal/wire/eventer"
 	"github.com/heatherslip/heatherslip/internal/wire/namer"
 )
@@ -349,3 +351,240 @@
 		})
 	}
 }
+
+// TestGivenUpStartsAreNoCrashes guards against a job that is answered as failed because
+// workers crash some time after starts there got no answer and were given up.
+func TestGivenUpStartsAreNoCrashes(t *testing.T) {
+	const wait = 900 * time.Millisecond
+	list := PollResult{Worker: "w", Clock: 1}
+	stopped := StopResult{Worker: "w", Acknowledged: true}
+	cases := map[string]struct {
+		latency time.Duration
+		// after follows the missing answer of each start.
+		after []Event
+	}{
+		"it timed out and is given up":                     {time.Second, nil},
+		"it timed out, the worker goes on":                 {time.Second, []Event{list}},
+		"it timed out and is stopped":                      {time.Second, []Event{list, stopped}},
+		"it timed out, is stopped and replaced":            {time.Second, []Event{list, stopped, list}},
+		"its connection broke, the worker goes on":         {0, []Event{list}},
+		"its connection broke, it is stopped":              {0, []Event{list, stopped}},
+		"its connection broke, it is stopped and replaced": {0, []Event{list, stopped, list}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s, now := newOwner()
+			boot := namer.UnixMillis(1)
+			actions := s.Step(now, 1, []Event{JobSubmitted{Call: 1, Job: JobSpec{
+				Name: "b", Kind: "short", Service: "s", MaxAttempts: 2, ObjectiveFactor: 1, ObjectiveBase: 20 * time.Second, CallerTimeout: time.Minute,
+				Steps: []StepSpec{{Count: 1, Size: Resources{Cores: 8000}, EstimatedRunTime: 60 * time.Millisecond}},
+			}}})
+			rounds := 0
+			step := func(e Event) {
+				now = now.Add(10 * time.Millisecond)
+				actions = append(actions, s.Step(now, 1, []Event{ownerHeartbeat(0, "d0"), e})...)
+			}
+			for range maxCrashes {
+				starts := startsOf(actions)
+				if len(starts) == 0 {
+					break
+				}
+				start := starts[len(starts)-1]
+				actions = nil
+				rounds++
+				step(StartResult{Worker: "w", Task: start.Task, Run: start.Run, Status: StartNoResponse, Latency: c.latency})
+				for _, e := range c.after {
+					step(answerTo(e, start, now, boot))
+				}
+				now = now.Add(wait)
+				step(PollResult{Worker: "w", NoResponse: true, Refused: true, SentAt: now})
+				must.False(t, s.isIsolated(start.Task))
+				boot++
+				now = now.Add(minRestartTime)
+				for range 3 {
+					step(PollResult{Worker: "w", SentAt: now, BootTime: boot, Clock: 1})
+					step(StopResult{Worker: "w", Task: start.Task, Run: start.Run, Acknowledged: true})
+				}
+				for range 30 {
+					step(PollResult{Worker: "w", SentAt: now, BootTime: boot, Clock: 1})
+				}
+				for _, a := range actions {
+					r, isResult := a.(JobResult)
+					must.False(t, isResult && r.Outcome == Failed)
+				}
+			}
+			must.Eq(t, maxCrashes, rounds)
+		})
+	}
+}
+
+// answerTo fills in the fields of a worker's answer that a test case leaves open.
+func answerTo(e Event, start Start, sentAt time.Time, boot namer.UnixMillis) Event {
+	switch e := e.(type) {
+	case PollResult:
+		e.SentAt, e.BootTime = sentAt, boot
+		return e
+	case StopResult:
+		e.Task, e.Run = start.Task, start.Run
+		return e
+	}
+	return e
+}
+
+// TestUnlistedForeignRunsAreNoCrashes guards against a job that is answered as failed for
+// starts of other instances that got no answer and that no list of the worker ever had.
+func TestUnlistedForeignRunsAreNoCrashes(t *testing.T) {
+	const run = namer.RunID(1<<20 | 2)
+	task := namer.TaskName{Job: "a"}
+	listed := []ActiveRun{{Task: task, Run: run}}
+	cases := map[string]struct {
+		latency   time.Duration
+		lists     [][]ActiveRun
+		restarted bool
+		want      int
+	}{
+		"it timed out":                              {time.Second, nil, false, 0},
+		"it timed out, the worker goes on":          {time.Second, [][]ActiveRun{nil}, false, 0},
+		"its connection broke, the worker goes on":  {0, [][]ActiveRun{nil}, false, 0},
+		"its connection broke":                      {0, nil, false, 1},
+		"it timed out, then it is listed":           {time.Second, [][]ActiveRun{nil, listed}, false, 1},
+		"the worker goes on, then it has restarted": {0, [][]ActiveRun{nil}, true, 0},
+		"it timed out, the worker has restarted":    {time.Second, nil, true, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s, now := newOwner()
+			s.learnUnguarded("s", true)
+			fence := claimOf(s.Step(now, 1, nil))
+			list := func(active []ActiveRun) Event {
+				return PollResult{Worker: "w", SentAt: now, BootTime: 1, Clock: 1, Fence: fence, Active: active}
+			}
+			s.Step(now, 1, []Event{list(nil)})
+			s.Step(now, 1, []Event{reserveRequest(0, run, 6000)})
+			must.Len(t, 1, startsOf(s.Step(now, 1, []Event{startOrder(0, run)})))
+			s.Step(now, 1, []Event{StartResult{Worker: "w", Task: task, Run: run, Status: StartNoResponse, Fence: fence, Latency: c.latency}})
+			for _, active := range c.lists {
+				now = now.Add(10 * time.Millisecond)
+				s.Step(now, 1, []Event{list(active)})
+			}
+			now = now.Add(50 * time.Millisecond)
+			if c.restarted {
+				fence = claimOf(s.Step(now, 1, []Event{WorkerListUpdated{Workers: []WorkerInfo{{
+					ID: "w", Service: "s", Domain: "d0", Capacity: Resources{Cores: 16000, Memory: 1 << 20}, BootTime: 2,
+				}}}}))
+				s.Step(now.Add(time.Millisecond), 1, []Event{PollResult{Worker: "w", SentAt: now, BootTime: 2, Clock: 1, Fence: fence}})
+			} else {
+				s.Step(now, 1, []Event{PollResult{Worker: "w", NoResponse: true, Refused: true, SentAt: now}})
+			}
+			must.Eq(t, c.want, s.crashes.Count(task))
+		})
+	}
+}
+
+// TestLateOrdersFailNoJob guards against jobs that are answered as failed although no two
+// workers have crashed under a task, when workers crash and restart while starts get no
+// answer and are carried out late.
+func TestLateOrdersFailNoJob(t *testing.T) {
+	for _, unguarded := range []bool{false, true} {
+		t.Run(fmt.Sprintf("unguarded %t", unguarded), func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(4) {
+				w := newUnguardedWorld(9000+seed, unguarded)
+				crashes := w.crashUnderLateOrders(2*time.Second, 5500*time.Millisecond)
+				w.run(14 * time.Second)
+				for _, j := range w.jobs {
+					most := 0
+					for n := range j.taskCores {
+						most = max(most, crashes[namer.TaskName{Job: j.spec.Name, Index: n}])
+					}
+					must.False(t, j.outcome == Failed && most < maxCrashes, must.Sprintf("seed %d: job %s has failed, with %d crashes under a task", seed, j.spec.Name, most))
+				}
+			}
+		})
+	}
+}
+
+// crashUnderLateOrders makes half of the requests late for a while, and some of the workers
+// crash each 450 ms, whose machines stay up. It returns how many crashes each task had a run
+// in, or the end of one that only the worker knew.
+func (w *simWorld) crashUnderLateOrders(from, until time.Duration) map[namer.TaskName]int {
+	crashes := make(map[namer.TaskName]int)
+	w.at(from, func() { w.delayedShare = 0.5 })
+	w.at(until, func() { w.delayedShare = 0 })
+	for at := from + 600*time.Millisecond; at < until; at += 450 * time.Millisecond {
+		w.at(at, func() {
+			for _, n := range w.faultRand.Perm(len(w.workers))[:len(w.workers)/6] {
+				s := w.workers[n]
+				if s.down {
+					continue
+				}
+				for key := range s.runs {
+					crashes[key.task]++
+				}
+				for _, e := range s.ended {
+					crashes[e.Task]++
+				}
+				s.crash()
+				s.refusing = true
+				w.after(600*time.Millisecond, s.reboot)
+			}
+		})
+	}
+	return crashes
+}
+
+// TestEvidenceOfCrashes guards against a job that is answered as failed because workers
+// crash for other reasons while they hold back starts of it, and against a task that is
+// started again and again because its starts never get an answer.
+func TestEvidenceOfCrashes(t *testing.T) {
+	const seen, likely, possible = crashcounter.Seen, crashcounter.Likely, crashcounter.Possible
+	cases := map[string]struct {
+		crashes []crashcounter.Evidence
+		givenUp bool
+	}{
+		"one run that was seen":                  {[]crashcounter.Evidence{seen}, false},
+		"two runs that were seen":                {[]crashcounter.Evidence{seen, seen}, true},
+		"a run and a start cut off at once":      {[]crashcounter.Evidence{seen, likely}, false},
+		"a run and a start without an answer":    {[]crashcounter.Evidence{seen, possible}, false},
+		"two starts cut off at once":             {[]crashcounter.Evidence{likely, likely}, true},
+		"two starts without an answer":           {[]crashcounter.Evidence{possible, possible}, false},
+		"three starts without an answer":         {[]crashcounter.Evidence{possible, possible, possible}, true},
+		"a run and two starts without an answer": {[]crashcounter.Evidence{seen, possible, possible}, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s, now := newOwner()
+			task := namer.TaskName{Job: "a"}
+			for n, e := range c.crashes {
+				s.Step(now, 1, []Event{MessageReceived{From: "e0", SourceAddr: peerAddr(0), Message: PeerMessage{
+					Crashes: []CrashReport{{RunRef: RunRef{"other", task, namer.RunID(90 + n)}, Evidence: e}},
+				}}})
+			}
+			must.Eq(t, c.givenUp, s.isGivenUp(task))
+			must.True(t, s.isIsolated(task))
+		})
+	}
+}
+
+// TestEvidenceOfStarts checks what a crash says of a start that got no answer.
+func TestEvidenceOfStarts(t *testing.T) {
+	const timeout = minStartTimeout
+	cases := map[string]struct {
+		latency           time.Duration
+		refused, restarts bool
+		evidence          crashcounter.Evidence
+	}{
+		"its connection broke at once": {time.Millisecond, true, true, crashcounter.Likely},
+		"its connection broke late":    {timeout - 1, true, true, crashcounter.Possible},
+		"it timed out":                 {timeout, false, true, crashcounter.Possible},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := doubtAfter(c.latency, timeout)
+			must.Eq(t, c.refused, d.counts(true))
+			must.Eq(t, c.restarts, d.counts(false))
+			must.Eq(t, c.evidence, d.evidence(false))
+			must.Eq(t, crashcounter.Seen, d.evidence(true))
+		})
+	}
+}
--- a/internal/core/scheduler/message.go
+++ b/internal/core/scheduler/message.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/heatherslip/heatherslip/internal/core/crashcounter"
 	"github.com/heatherslip/heatherslip/internal/core/detector"
 	"github.com/heatherslip/heatherslip/internal/wire/namer"
 )
@@ -145,6 +146,8 @@
 type CrashReport struct {
 	RunRef
 	Withdrawn bool `cbor:"4,keyasint,omitempty"`
+	// Evidence says how certain it is that the run existed.
+	Evidence crashcounter.Evidence `cbor:"5,keyasint,omitempty"`
 }
 
 func (m *PeerMessage) isEmpty() bool {
--- a/internal/core/scheduler/placement.go
+++ b/internal/core/scheduler/placement.go
@@ -347,8 +347,9 @@
 	s.lastRunCount++
 	base := s.runTimeAt(w, t.step, s.kindState(t.job.Kind).predictRunTime(t.step))
 	r := s.addRun(t, w, namer.NewRunID(s.lastRunCount, s.RunTag), size, s.forecastOn(w, base))
+	r.startTimeout = s.startTimeout()
 	s.emit(Start{
-		Worker: w.id, Task: r.taskID, Run: r.number, Payload: t.job.Payload, LeaseUntil: s.leaseEnd(w), Timeout: s.startTimeout(),
+		Worker: w.id, Task: r.taskID, Run: r.number, Payload: t.job.Payload, LeaseUntil: s.leaseEnd(w), Timeout: r.startTimeout,
 	})
 }
 
--- a/internal/core/scheduler/poll.go
+++ b/internal/core/scheduler/poll.go
@@ -339,6 +339,9 @@
 	}
 	s.setForeignRuns(w, foreign)
 	for _, r := range slices.Clone(w.ownRuns) {
+		if r.inDoubt && !e.SentAt.Before(r.inDoubtSince) {
+			r.doubt = noDoubt
+		}
 		switch {
 		case r.inLastPoll:
 		case !r.stopAckedAt.IsZero() && !e.SentAt.Before(r.stopAckedAt):
@@ -366,6 +369,9 @@
 		isListed := slices.ContainsFunc(listed, func(l foreignRun) bool { return l.Run == f.Run && l.Task == f.Task })
 		if !isListed && (!f.reportedAt.Before(e.SentAt) || w.mayStartLater(&f, e.Clock)) {
 			f.listed = false
+			if !e.SentAt.Before(f.reportedAt) {
+				f.doubt = noDoubt
+			}
 			out = append(out, f)
 		}
 	}
@@ -384,7 +390,7 @@
 	}
 	if i := w.foreignIndex(key); i >= 0 {
 		f := w.foreignRuns[i]
-		f.ActiveRun, f.listed, f.reportedAt, f.startableUntil = a, true, time.Time{}, 0
+		f.ActiveRun, f.listed, f.reportedAt, f.startableUntil, f.doubt = a, true, time.Time{}, 0, noDoubt
 		return f
 	}
 	return foreignRun{ActiveRun: a, listed: true}
--- a/internal/core/scheduler/reservation.go
+++ b/internal/core/scheduler/reservation.go
@@ -59,6 +59,8 @@
 	starting bool
 	// startableUntil is the end of the lease of the start, on the worker's clock.
 	startableUntil namer.WorkerClockMillis
+	// startTimeout is that of the start.
+	startTimeout time.Duration
 }
 
 // foreignRun returns the table entry of the run that the reservation was for.
@@ -405,9 +407,10 @@
 	}
 	until := s.leaseEnd(w)
 	w.reservations[i].starting, w.reservations[i].startableUntil = true, until
+	w.reservations[i].startTimeout = s.startTimeout()
 	s.orderedStarts[key] = p
 	s.emit(Start{
-		Worker: w.id, Task: order.Task, Run: order.Run, Payload: payload, LeaseUntil: until, Timeout: s.startTimeout(),
+		Worker: w.id, Task: order.Task, Run: order.Run, Payload: payload, LeaseUntil: until, Timeout: w.reservations[i].startTimeout,
 	})
 }
 
@@ -423,13 +426,20 @@
 	if w == nil {
 		return
 	}
-	s.recordStartResult(w, e)
+	timeout := s.startTimeout()
+	if i := w.reservationIndex(key); i >= 0 {
+		timeout = w.reservations[i].startTimeout
+	}
+	s.recordStartResult(w, e, timeout)
 	i := w.reservationIndex(key)
 	if i < 0 {
 		return
 	}
 	f := w.reservations[i].foreignRun(ActiveRun{Task: e.Task, Run: e.Run})
 	f.reportedAt, f.startableUntil = s.now, w.reservations[i].startableUntil
+	if e.Status == StartNoResponse {
+		f.doubt = doubtAfter(e.Latency, timeout)
+	}
 	if e.Status == StartAccepted {
 		f.startedAt, f.startableUntil = s.now, 0
 	}
--- a/internal/core/scheduler/run.go
+++ b/internal/core/scheduler/run.go
@@ -30,6 +30,10 @@
 	// confirmed since.
 	inDoubt      bool
 	inDoubtSince time.Time
+	// startTimeout is that of the start; zero if a peer sends it.
+	startTimeout time.Duration
+	// doubt is that about a start without a response, until the worker lists its runs.
+	doubt startDoubt
 	// lost is set while the run's worker counts as crashed.
 	lost bool
 	// stopRequested is set once the run is to be stopped, stopInFlight while a
@@ -76,12 +80,16 @@
 		return
 	}
 	s.updateStartLatency(e.Latency)
-	s.recordStartResult(r.worker, e)
+	s.recordStartResult(r.worker, e, r.startTimeout)
+	if e.Status == StartNoResponse {
+		r.doubt = doubtAfter(e.Latency, r.startTimeout)
+	}
 	s.applyStartResult(r, e.Status, e.Latency)
 }
 
-// recordStartResult records what the result of a start says about the worker.
-func (s *Scheduler) recordStartResult(w *worker, e StartResult) {
+// recordStartResult records what the result of a start, which had the given timeout, says
+// about the worker.
+func (s *Scheduler) recordStartResult(w *worker, e StartResult, timeout time.Duration) {
 	if e.Status != StartNoResponse && e.Status != StartNotSent {
 		w.setClock(s.now, e.Clock)
 	}
@@ -97,8 +105,8 @@
 	case StartRefused:
 		s.recordFailure(w)
 	case StartNoResponse:
-		if w.crashed {
-			s.recordLostRun(w, RunRef{w.id, e.Task, e.Run})
+		if doubt := doubtAfter(e.Latency, timeout); w.crashed && doubt.counts(true) {
+			s.recordLostRun(w, &CrashReport{RunRef: RunRef{w.id, e.Task, e.Run}, Evidence: doubt.evidence(false)})
 		}
 		w.suspected = true
 		s.sendImmediatePoll(w)
--- a/internal/core/scheduler/worker.go
+++ b/internal/core/scheduler/worker.go
@@ -71,7 +71,7 @@
 	lostRuns []RunRef
 	// runsBeforeRestart are the runs that were known when the worker turned out to have
 	// restarted, until the new incarnation has listed its runs.
-	runsBeforeRestart   []RunRef
+	runsBeforeRestart   []CrashReport
 	consecutiveFailures int
 	// breakerTrips counts how often the breaker has opened since the last
 	// success. While it is positive, the worker gets one run at a time.
@@ -111,6 +111,8 @@
 	// startableUntil is the end of the lease, on the worker's clock, of a start without a
 	// response; zero if the run is known to exist.
 	startableUntil namer.WorkerClockMillis
+	// doubt is that about a start without a response, until the worker lists its runs.
+	doubt startDoubt
 	// reportedAt is when its instance reported the start; zero if the run is only
 	// known from the worker's list.
 	reportedAt time.Time
@@ -287,7 +289,7 @@
 		return
 	}
 	if w.owned && !w.crashed {
-		w.runsBeforeRestart = w.startedRuns()
+		w.runsBeforeRestart = w.lostInCrash(false)
 	}
 	s.emit(Decision{Event: eventer.WorkerRestarted, Worker: w.id})
 	w.crashed, w.lostRuns = false, nil
