--- a/internal/core/scheduler/life_test.go
+++ b/internal/core/scheduler/life_test.go
@@ -177,7 +177,7 @@
 		t.Run(name, func(t *testing.T) {
 			s, now := newLifeOwner()
 			if c.unanswered {
-				s.recordStartResult(s.workers["w"], StartResult{Worker: "w", Status: StartNoResponse})
+				s.recordStartResult(s.workers["w"], StartResult{Worker: "w", Status: StartNoResponse}, minStartTimeout)
 			}
 			var longest time.Duration
 			for range 8 {
