--- a/internal/core/scheduler/peer.go
+++ b/internal/core/scheduler/peer.go
@@ -159,8 +159,8 @@
 	}
 }
 
-// handleOwnerSummary processes the state of an owner that was relayed in a heartbeat. It is no sign of life as
-// far as the owner's runs are concerned.
+// handleOwnerSummary processes the state of an owner that a heartbeat relays. It is no sign
+// of life as far as the owner's runs are concerned.
 func (s *Scheduler) handleOwnerSummary(heartbeatAt time.Time, o *registrar.OwnerSummary) {
 	p := s.peerNamed(o.Name)
 	sentAt := heartbeatAt.Add(-o.Age)
@@ -249,8 +249,8 @@
 	return p.lastSeen.Add(peerTimeout)
 }
 
-// reviewLeases has it determined anew whose runs are on the workers, after an instance has
-// ceased to count as live.
+// reviewLeases discards the times until which leases may be extended, after an instance has
+// ceased to count as live before its time.
 func (s *Scheduler) reviewLeases() {
 	for _, w := range s.sortedWorkers {
 		w.leasableUntil = time.Time{}
--- a/internal/core/scheduler/worker.go
+++ b/internal/core/scheduler/worker.go
@@ -383,7 +383,8 @@
 }
 
 // hasOrphanedRuns reports whether a worker has runs of an instance that does not count as
-// live, or starts of such runs on their way. Nothing may extend the lease of the worker then, since a lease covers all runs.
+// live, or starts of such runs on their way. Nothing may extend the lease of the worker
+// then, since a lease covers all runs.
 func (s *Scheduler) hasOrphanedRuns(w *worker) bool {
 	if len(w.foreignRuns)+len(w.reservations) == 0 || s.now.Before(w.leasableUntil) {
 		return false
