gossiper: TestSend checks when a heartbeat was sent

Cause: since a heartbeat carries a reading of the sender's clock, which the test compared with zero. Without a call of BootTime the reading is the age of the process, so that it was zero only if the test sent within its first millisecond.

--- a/internal/edge/gossiper/gossiper_test.go
+++ b/internal/edge/gossiper/gossiper_test.go
@@ -12,8 +12,10 @@
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 
+	"github.com/heatherslip/heatherslip/internal/core/dater"
 	"github.com/heatherslip/heatherslip/internal/core/registrar"
 	"github.com/heatherslip/heatherslip/internal/core/scheduler"
+	"github.com/heatherslip/heatherslip/internal/edge/clocker"
 	"github.com/heatherslip/heatherslip/internal/wire/namer"
 )
 
@@ -89,6 +91,7 @@
 	for n := range requests {
 		m.ReserveRequests = append(m.ReserveRequests, scheduler.ReserveRequest{Run: namer.RunID(n), Service: namer.Service(strings.Repeat("s", 40))})
 	}
+	before := dater.ReadingAt(clocker.BootTime())
 	waitUntil(t, func() bool {
 		// Datagrams may be lost, so they are sent again until all have arrived.
 		sender.SendHeartbeat([]netip.Addr{target.ownAddr}, h)
@@ -96,7 +99,9 @@
 		time.Sleep(5 * time.Millisecond)
 		return receiver.holds(func() bool { return len(receiver.reservedRuns) == requests && len(receiver.heartbeats) == 1 })
 	})
-	h.Name, h.SourceAddr = "e0", sender.ownAddr
+	sentAt := receiver.heartbeats["e0"].SentAt
+	must.Between(t, before, sentAt, dater.ReadingAt(clocker.BootTime()))
+	h.Name, h.SourceAddr, h.SentAt = "e0", sender.ownAddr, sentAt
 	must.Eq(t, h, receiver.heartbeats["e0"])
 	must.Eq(t, sender.ownAddr, receiver.reservedRuns[0])
 }
