--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -6,4 +6,4 @@
 	echo "build first: the deploy file's command and review/build-2.sh" >&2
 	exit 2
 fi
-exec target/review-2 --root . --dir review/7 reborn
+exec target/review-2 --root . --dir review/7 overtake
