review: daemons that restart can't claim unguarded minions

Fences follow a count that runs ahead of the clock at over 100 starts a second; after a kill of all daemons the minions reject every claim for longer than RecoveryS (RECOVER).

--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -17,12 +17,10 @@
 func main() { os.Exit(play()) }
 
 var scenarios = map[string]func(s *site, trouble bool) error{
-	"cancel":       cancelCase,
-	"overtake":     overtakeCase,
-	"reborn":       rebornCase,
-	"antiaffinity": antiAffinityCase,
-	"drain":        drainCase,
-	"soak":         soakCase,
+	"fence":    fenceCase,
+	"overtake": overtakeCase,
+	"reborn":   rebornCase,
+	"soak":     soakCase,
 }
 
 var seed = flag.Uint64("seed", 1, "seed of the soak")
