scheduler: log how a restart of a worker is found and when its entry is current

Event 523 now says how the restart was found; event 529 says that the list has the entry of the incarnation.

--- a/internal/core/scheduler/life.go
+++ b/internal/core/scheduler/life.go
@@ -109,7 +109,7 @@
 // learnBootTime records the boot time of a worker that a peer has told.
 func (s *Scheduler) learnBootTime(w *worker, bootTime namer.UnixMillis) {
 	if bootTime > w.bootTime && bootFenceAt(bootTime).Count() <= s.lastRunCount+maxFenceLead {
-		s.resetIncarnation(w, bootTime)
+		s.resetIncarnation(w, bootTime, restartTold)
 	}
 }
 
--- a/internal/core/scheduler/poll.go
+++ b/internal/core/scheduler/poll.go
@@ -126,7 +126,7 @@
 		return
 	}
 	if e.BootTime > w.bootTime {
-		s.resetIncarnation(w, e.BootTime)
+		s.resetIncarnation(w, e.BootTime, restartPolled)
 		s.tellBootTime(w)
 	}
 	if e.BootTime < w.bootTime && e.BootTime != 0 {
--- a/internal/core/scheduler/worker.go
+++ b/internal/core/scheduler/worker.go
@@ -30,8 +30,12 @@
 	removedAt time.Time
 	capacity  Resources
 	labels    []string
-	// bootTime identifies the incarnation that the fields below refer to.
-	bootTime namer.UnixMillis
+	// bootTime identifies the incarnation that the fields below refer to, and entryBootTime
+	// that of the fields above, which are from the worker's entry in the list. The entry
+	// is never of a later incarnation.
+	bootTime, entryBootTime namer.UnixMillis
+	// restartedAt is when this instance found the incarnation.
+	restartedAt time.Time
 	// clockReading is the worker's clock as of clockReadAt.
 	clockReading namer.WorkerClockMillis
 	clockReadAt  time.Time
@@ -279,17 +283,36 @@
 	if s.unguarded[w.service] {
 		s.guardWorker(w)
 	}
+	wasOutdated := w.isEntryOutdated()
+	w.entryBootTime = info.BootTime
 	if info.BootTime > w.bootTime {
-		s.resetIncarnation(w, info.BootTime)
+		s.resetIncarnation(w, info.BootTime, restartListed)
+	}
+	if wasOutdated && !w.isEntryOutdated() {
+		s.emit(Decision{Event: eventer.WorkerEntryCurrent, Worker: w.id, Age: s.now.Sub(w.restartedAt), Cores: w.capacity.Cores})
 	}
 	s.updateNotice(w, info, wasDraining)
 }
 
+// isEntryOutdated reports whether the worker's entry in the list was written by an earlier
+// incarnation than the one that is known.
+func (w *worker) isEntryOutdated() bool { return w.entryBootTime < w.bootTime }
+
+// restartSource says how a restart of a worker was found.
+type restartSource string
+
+// Sources of a restart, as they are shown to operators.
+const (
+	restartListed restartSource = "entry of the list"
+	restartPolled restartSource = "list of runs"
+	restartTold   restartSource = "told by a peer"
+)
+
 // resetIncarnation discards the state of a worker's earlier incarnation. Runs of
 // this instance may exist on either incarnation; the next poll result lists them.
-func (s *Scheduler) resetIncarnation(w *worker, bootTime namer.UnixMillis) {
+func (s *Scheduler) resetIncarnation(w *worker, bootTime namer.UnixMillis, source restartSource) {
 	first := w.bootTime == 0
-	w.bootTime, w.speed, w.speedReportsDue = bootTime, estimator.Speed{}, 0
+	w.bootTime, w.restartedAt, w.speed, w.speedReportsDue = bootTime, s.now, estimator.Speed{}, 0
 	w.refusedAt = time.Time{}
 	if first && !w.runsListed {
 		return
@@ -297,7 +320,7 @@
 	if w.owned && !w.crashed {
 		w.runsBeforeRestart = w.lostInCrash(false)
 	}
-	s.emit(Decision{Event: eventer.WorkerRestarted, Worker: w.id})
+	s.emit(Decision{Event: eventer.WorkerRestarted, Worker: w.id, Reason: string(source)})
 	w.crashed, w.lostRuns = false, nil
 	w.notice, w.leavesAt = Notice{}, time.Time{}
 	w.runsListed, w.listedSequence, w.clockReading = false, 0, 0
--- a/internal/wire/eventer/events.go
+++ b/internal/wire/eventer/events.go
@@ -80,6 +80,7 @@
 	WorkerCrashed       Event = 526
 	NoticeWithdrawn     Event = 527
 	NoticeChanged       Event = 528
+	WorkerEntryCurrent  Event = 529
 	ConfigApplied       Event = 530
 	ConfigRejected      Event = 531
 	ListEntryRejected   Event = 532
@@ -197,7 +198,8 @@
 		{WorkerListed, "worker listed", "The platform lists a new worker."},
 		{WorkerDraining, "worker draining", "A worker is draining; left_ms is how long it stays at least. It gets only tasks that end well before, and none if that is unknown."},
 		{WorkerRemoved, "worker gone", "The platform no longer lists a worker."},
-		{WorkerRestarted, "worker reborn", "A worker has restarted; all its earlier runs have ended."},
+		{WorkerRestarted, "worker reborn", "A worker has restarted; all its earlier runs have ended. The line has how that was found: by its entry of the list, its list of runs or a peer."},
+		{WorkerEntryCurrent, "worker entry current", "The list has the entry of a worker that has restarted; age_ms is how long after the restart was found, and cores is its capacity."},
 		{WorkerReachable, "worker heard", "A worker responds again; age_ms is how long it was silent."},
 		{WorkerUnreachable, "worker silent", "A worker does not respond; it gets no starts until it does."},
 		{WorkerCrashed, "worker crashed", "A worker's address refuses connections: its process has ended, or a network device rejects the packets. The line has the number of runs there."},
