scheduler: no starts on a worker whose entry is of a former incarnation

Cause: service, labels and capacity come from the worker's entry in the list, read each 500 ms; the incarnation also from its list of runs, read at once. A new incarnation in the list of runs left the former one's labels in place.

While it is older than the one known, the worker gets no starts, its capacity isn't advertised, and it doesn't count as reachable.

Why this works: the check is where all starts and grants are decided, and compares what both sources say of the incarnation, whichever comes first and wherever it comes from.

TestNoStartByEntryOfFormerIncarnation failed before in the cases with a newer list of runs, a message of a peer and a late entry. In three test fixtures workers restarted or were listed without an entry of their incarnation, which the platform's workers always write; they write it now.

--- a/internal/core/scheduler/crash_test.go
+++ b/internal/core/scheduler/crash_test.go
@@ -405,6 +405,7 @@
 					step(PollResult{Worker: "w", SentAt: now, BootTime: boot, Clock: 1})
 					step(StopResult{Worker: "w", Task: start.Task, Run: start.Run, Acknowledged: true})
 				}
+				step(WorkerListUpdated{Workers: []WorkerInfo{noticeEntry(false, 0, boot)}})
 				for range 30 {
 					step(PollResult{Worker: "w", SentAt: now, BootTime: boot, Clock: 1})
 				}
--- a/internal/core/scheduler/life_test.go
+++ b/internal/core/scheduler/life_test.go
@@ -189,3 +189,47 @@
 		})
 	}
 }
+
+// Guards against starts by the labels, the capacity and the service of a worker's former
+// incarnation, after its list of runs has shown the next one and before its entry has.
+func TestNoStartByEntryOfFormerIncarnation(t *testing.T) {
+	entry := func(bootTime namer.UnixMillis, label string) Event {
+		return WorkerListUpdated{Workers: []WorkerInfo{{
+			ID: "w", Service: "s", Domain: "d0", Capacity: Resources{Cores: 16000, Memory: 1 << 20}, Labels: []string{label}, BootTime: bootTime,
+		}}}
+	}
+	runs := func(bootTime namer.UnixMillis) Event {
+		return PollResult{Worker: "w", BootTime: bootTime, Clock: 1, Fence: bootFenceAt(bootTime)}
+	}
+	told := MessageReceived{From: "e0", SourceAddr: peerAddr(0), Message: PeerMessage{Fences: []WorkerFence{{Worker: "w", BootTime: secondBoot}}}}
+	cases := map[string]struct {
+		events   []Event
+		required string
+		granted  bool
+	}{
+		"no restart":            {nil, "former", true},
+		"list of runs is newer": {[]Event{runs(secondBoot)}, "former", false},
+		"list of runs is newer, any kind would do":   {[]Event{runs(secondBoot)}, "", false},
+		"a peer knows the restart":                   {[]Event{told, runs(secondBoot)}, "former", false},
+		"entry is as new, of another kind":           {[]Event{runs(secondBoot), entry(secondBoot, "next")}, "former", false},
+		"entry is as new, of the kind":               {[]Event{runs(secondBoot), entry(secondBoot, "next")}, "next", true},
+		"entry comes first":                          {[]Event{entry(secondBoot, "next"), runs(secondBoot)}, "next", true},
+		"entry comes first, then the former's again": {[]Event{entry(secondBoot, "next"), runs(secondBoot), entry(firstBoot, "former")}, "former", false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s, now := newLifeOwner()
+			for _, e := range append([]Event{entry(firstBoot, "former"), runs(firstBoot)}, c.events...) {
+				now = now.Add(time.Millisecond)
+				if poll, isPoll := e.(PollResult); isPoll {
+					poll.SentAt = now
+					e = poll
+				}
+				s.Step(now, lifeWall, []Event{e})
+			}
+			request := reserveRequest(0, 1<<20|2, 1000)
+			request.Message.ReserveRequests[0].RequiredLabel = c.required
+			must.Eq(t, c.granted, len(reservedWorkers(s.Step(now, lifeWall, []Event{request}))) == 1)
+		})
+	}
+}
--- a/internal/core/scheduler/obstacle.go
+++ b/internal/core/scheduler/obstacle.go
@@ -15,6 +15,7 @@
 	obstacleStepLimit   obstacle = "too many tasks of the step"
 	obstacleTrial       obstacle = "has its trial run"
 	obstacleUnlisted    obstacle = "not listed"
+	obstacleRestarted   obstacle = "has restarted and its entry is not listed yet"
 	obstacleUnknownRuns obstacle = "runs are unknown"
 	obstacleUnclaimed   obstacle = "may get starts of another owner"
 	obstacleDraining    obstacle = "draining"
@@ -64,6 +65,8 @@
 	switch {
 	case !w.listed:
 		return obstacleUnlisted
+	case w.isEntryOutdated():
+		return obstacleRestarted
 	case !s.hasListedRuns(w):
 		return obstacleUnknownRuns
 	case w.isUnclaimed():
--- a/internal/core/scheduler/simulation_test.go
+++ b/internal/core/scheduler/simulation_test.go
@@ -290,6 +290,14 @@
 	}
 }
 
+// entry returns the worker's entry of the list while it isn't draining.
+func (s *simWorker) entry() WorkerInfo {
+	return WorkerInfo{
+		ID: s.id, Service: "s", Domain: s.domain, Capacity: Resources{Cores: s.cores, Memory: 1 << 20}, BootTime: s.bootTime,
+		Labels: []string{s.rack},
+	}
+}
+
 // publish puts an entry into the worker list.
 func (s *simWorker) publish(info WorkerInfo) {
 	for _, i := range s.w.instances {
@@ -303,6 +311,7 @@
 func (s *simWorker) reboot() {
 	s.down, s.refusing = false, false
 	s.boot()
+	s.publish(s.entry())
 }
 
 func (s *simWorker) clock() namer.WorkerClockMillis {
@@ -508,10 +517,7 @@
 	}, simEpoch.Add(w.now), namer.UnixMillis(simEpoch.Add(w.now).UnixMilli()))
 	var list WorkerListUpdated
 	for _, s := range w.workers {
-		list.Workers = append(list.Workers, WorkerInfo{
-			ID: s.id, Service: "s", Domain: s.domain, Capacity: Resources{Cores: s.cores, Memory: 1 << 20}, BootTime: s.bootTime,
-			Labels: []string{s.rack},
-		})
+		list.Workers = append(list.Workers, s.entry())
 	}
 	incarnation := i.incarnation
 	w.after(0, func() { i.deliver(incarnation, list) })
--- a/internal/core/scheduler/speed_test.go
+++ b/internal/core/scheduler/speed_test.go
@@ -81,7 +81,7 @@
 		t.Run(name, func(t *testing.T) {
 			s, now := newOwner()
 			busy := s.newWorker("busy")
-			busy.service, busy.domain, busy.listed, busy.capacity = "s", "d0", true, Resources{Cores: 8000, Memory: 1 << 20}
+			busy.service, busy.domain, busy.listed, busy.capacity, busy.entryBootTime = "s", "d0", true, Resources{Cores: 8000, Memory: 1 << 20}, 1
 			s.Step(now.Add(deadlineCheckInterval), 1, nil)
 			now = now.Add(deadlineCheckInterval)
 			s.Step(now, 1, []Event{PollResult{Worker: "busy", SentAt: now, BootTime: 1, Clock: 1}})
--- a/internal/core/scheduler/worker.go
+++ b/internal/core/scheduler/worker.go
@@ -223,7 +223,7 @@
 // reach a worker of the service.
 func (s *Scheduler) isServiceReachable(service namer.Service) bool {
 	for _, w := range s.ownedWorkers {
-		if w.service == service && w.listed && w.runsListed && s.admitsStarts(w) && !s.evacuations.has(w.domain) && s.now.Sub(w.lastSeen) <= workerTimeout {
+		if w.service == service && w.listed && !w.isEntryOutdated() && w.runsListed && s.admitsStarts(w) && !s.evacuations.has(w.domain) && s.now.Sub(w.lastSeen) <= workerTimeout {
 			return true
 		}
 	}
@@ -295,7 +295,7 @@
 }
 
 // isEntryOutdated reports whether the worker's entry in the list was written by an earlier
-// incarnation than the one that is known.
+// incarnation than the one that is known, whose service, labels and capacity may differ.
 func (w *worker) isEntryOutdated() bool { return w.entryBootTime < w.bootTime }
 
 // restartSource says how a restart of a worker was found.
