scheduler: log lists of runs that arrive after a later one

1. a list of runs that was overtaken by a later one makes the owner forget a run; 2. two instances start runs on one minion; 3. a run of unknown size is counted too small.

Event 549 says that a list was overtaken, and how many known runs it lacks.

--- a/internal/core/scheduler/poll.go
+++ b/internal/core/scheduler/poll.go
@@ -136,6 +136,9 @@
 	if !s.acceptsList(w, e) {
 		return
 	}
+	if w.isOvertaken(&e) {
+		s.emit(Decision{Event: eventer.RunListOvertaken, Worker: w.id, Age: s.now.Sub(e.SentAt), Runs: w.missingRuns(&e)})
+	}
 	// A run that is missing from the last list of an owned worker has started since.
 	isTracked := w.owned && w.runsListed && s.now.Sub(w.lastSeen) < longPollTime+busyLongPollTime
 	if s.isUnresponsive(w) || w.owned && !w.runsListed {
@@ -148,7 +151,7 @@
 	w.endDelay = s.endDelay(w, &e)
 	w.lastSeen, w.suspected, w.crashed, w.failedPolls, w.runsListed = s.now, false, false, 0, true
 	w.refusedAt = time.Time{}
-	w.listRequestedAt = e.SentAt
+	w.listRequestedAt, w.listClock, w.listedAt = e.SentAt, e.Clock, s.now
 	w.setClock(s.now, e.Clock)
 	s.recordClaim(w)
 	s.recordRestart(w, &e)
@@ -167,6 +170,28 @@
 	}
 }
 
+// isOvertaken reports whether the list in a poll result may have been written before the
+// last one: responses on different connections overtake each other. A poll that was sent
+// before the last list arrived may have been answered before or after it.
+func (w *worker) isOvertaken(e *PollResult) bool {
+	return e.SentAt.Before(w.listedAt) && e.Clock <= w.listClock
+}
+
+// missingRuns returns how many of the listed runs of other instances a poll result has
+// neither as active nor as ended.
+func (w *worker) missingRuns(e *PollResult) int {
+	n := 0
+	for i := range w.foreignRuns {
+		f := &w.foreignRuns[i]
+		isActive := slices.ContainsFunc(e.Active, func(a ActiveRun) bool { return a.Run == f.Run && a.Task == f.Task })
+		isEnded := slices.ContainsFunc(e.Ended, func(a EndedRun) bool { return a.Run == f.Run && a.Task == f.Task })
+		if f.listed && !isActive && !isEnded {
+			n++
+		}
+	}
+	return n
+}
+
 func (s *Scheduler) handlePollFailure(w *worker, e PollResult) {
 	if e.WrongIncarnation {
 		w.runsListed = false
--- a/internal/core/scheduler/worker.go
+++ b/internal/core/scheduler/worker.go
@@ -43,7 +43,11 @@
 	// kept. The list is the response to a poll that was sent at listRequestedAt.
 	runsListed      bool
 	listRequestedAt time.Time
-	lastSeen        time.Time
+	// listClock is the worker's clock when it wrote that list, and listedAt when this
+	// instance got it. Both are zero before the incarnation's first list.
+	listClock namer.WorkerClockMillis
+	listedAt  time.Time
+	lastSeen  time.Time
 	// listedSequence is the highest sequence number of an ended run that the worker
 	// has listed.
 	listedSequence int64
@@ -313,7 +317,7 @@
 func (s *Scheduler) resetIncarnation(w *worker, bootTime namer.UnixMillis, source restartSource) {
 	first := w.bootTime == 0
 	w.bootTime, w.restartedAt, w.speed, w.speedReportsDue = bootTime, s.now, estimator.Speed{}, 0
-	w.refusedAt = time.Time{}
+	w.refusedAt, w.listClock, w.listedAt = time.Time{}, 0, time.Time{}
 	if first && !w.runsListed {
 		return
 	}
--- a/internal/edge/driver/decision_log.go
+++ b/internal/edge/driver/decision_log.go
@@ -28,6 +28,7 @@
 	eventer.RunMoved:         zerolog.InfoLevel,
 	eventer.RunMissing:       zerolog.InfoLevel,
 	eventer.RunOrphaned:      zerolog.InfoLevel,
+	eventer.RunListOvertaken: zerolog.InfoLevel,
 }
 
 // logDecision logs a decision. Keys without a value are left out.
--- a/internal/wire/eventer/events.go
+++ b/internal/wire/eventer/events.go
@@ -98,6 +98,7 @@
 	MessagesLate        Event = 546
 	RunOutlivesInstance Event = 547
 	RunTagChanged       Event = 548
+	RunListOvertaken    Event = 549
 	CallRefused         Event = 540
 	// 550 to 559 are the operator's evacuations.
 	EvacuationBegun       Event = 550
@@ -221,6 +222,7 @@
 		{MessagesLate, "messages late", "Messages of another instance are handled long after they were sent: this process, that one or the network stands still at times. The line has the delay of one of them, and is logged at most once a second for each peer. If it goes on, give the instance more processor time."},
 		{RunOutlivesInstance, "run outlives instance", "A worker lists a run of an instance that is silent for so long that the run's lease should have ended; the line has the silence, by the time at which the last message was sent. The run's task may be started a second time. Please report it with the logs of all instances."},
 		{RunTagChanged, "run tag changed", "Another instance has the same run tag; this one marks its runs with another tag from now on."},
+		{RunListOvertaken, "run list overtaken", "A worker's list of runs has arrived after one that the worker wrote later; age_ms is the time since its request, and runs is how many known runs of other instances it lacks."},
 		{LogLinesDropped, "lines dropped", "More lines were logged than the limits allow; the line has how many were dropped."},
 		{EvacuationBegun, "evacuation begun", "The operator has requested the evacuation of a failure domain: nothing more is started there. The line has the number of listed workers there, and of the running tasks that this instance knows of, which go on."},
 		{EvacuationEnded, "evacuation ended", "The operator has taken an evacuation back; the workers of the domain are used again. The fields are those of evacuation begun."},
