scheduler: lists of runs that were overtaken are ignored

Cause: each list of runs was taken for the newest. The answer to a long poll that was delayed lacked a run that the answer to a later poll had shown; the owner removed the run and gave its capacity away again.

Change: a list that was requested before the last one arrived is ignored unless the worker's clock in it is later. The answer to a start sets the clock forward only.

Why this works: lists of an incarnation are written under one clock that never goes back, whatever way they take. A list that was requested after the last one's arrival is newer in any case.

--- a/internal/core/scheduler/poll.go
+++ b/internal/core/scheduler/poll.go
@@ -138,6 +138,11 @@
 	}
 	if w.isOvertaken(&e) {
 		s.emit(Decision{Event: eventer.RunListOvertaken, Worker: w.id, Age: s.now.Sub(e.SentAt), Runs: w.missingRuns(&e)})
+		s.stopInDoubtRuns(w, e)
+		if !e.OutOfBand {
+			w.nextPollAt = s.now
+		}
+		return
 	}
 	// A run that is missing from the last list of an owned worker has started since.
 	isTracked := w.owned && w.runsListed && s.now.Sub(w.lastSeen) < longPollTime+busyLongPollTime
--- a/internal/core/scheduler/run.go
+++ b/internal/core/scheduler/run.go
@@ -90,7 +90,8 @@
 // recordStartResult records what the result of a start, which had the given timeout, says
 // about the worker.
 func (s *Scheduler) recordStartResult(w *worker, e StartResult, timeout time.Duration) {
-	if e.Status != StartNoResponse && e.Status != StartNotSent {
+	if e.Status != StartNoResponse && e.Status != StartNotSent && e.Clock >= w.clockReading {
+		// A list of runs may have overtaken the response.
 		w.setClock(s.now, e.Clock)
 	}
 	switch e.Status {
--- a/internal/core/scheduler/worker.go
+++ b/internal/core/scheduler/worker.go
@@ -203,6 +203,8 @@
 	return w.clockReading + namer.WorkerClockMillis(now.Sub(w.clockReadAt).Milliseconds())
 }
 
+// setClock records a reading of the worker's clock that is newer than the last one, or of
+// another incarnation.
 func (w *worker) setClock(now time.Time, reading namer.WorkerClockMillis) {
 	if reading > 0 {
 		w.clockReading, w.clockReadAt = reading, now
