limiter: the connections of clients are limited

What callers saw: nothing yet. Clients that open many connections and send no whole request took all descriptors of an instance and, with long headers, its memory; the instance then reaches neither workers nor new clients.

Cause: the listener for clients accepted any number of connections, and a header could have 1 MiB, the default of net/http.

Change: a limit on open connections, from the memory and the descriptors in the settings. At the limit the connection that has gone longest without a request being served gives way to a new one; those on which requests are served stay.

Why this works: what a connection can take is bounded, so is their number, and a client that sends a whole request always gets a connection as long as one isn't serving.

It runs alone, after the other checks (make flood).

--- a/Makefile
+++ b/Makefile
@@ -5,13 +5,14 @@
 # Tests that fail for a known cause, separated by "|".
 KNOWN_RED = $(shell sed -n 's/^test: \(Test[A-Za-z0-9_]*\)$$/\1/p' KNOWN-RED.txt | paste -sd '|')
 
-.PHONY: test format lint race model build faults fuzz bench soak promises
+.PHONY: test format lint race model build faults flood fuzz bench soak promises
 
-# Runs all checks in parallel: format, linters, tests with the race detector, and
-# the model check. The tests in KNOWN-RED.txt are skipped and printed.
+# Runs all checks: format, linters, tests with the race detector and the model check in
+# parallel, and the flood test after them, alone. The tests in KNOWN-RED.txt are skipped and printed.
 test:
 	@cat KNOWN-RED.txt
 	@$(MAKE) --no-print-directory --output-sync=target -j4 format lint race model
+	@$(MAKE) --no-print-directory flood
 	@echo "all checks passed"
 
 format:
@@ -39,6 +40,11 @@
 faults:
 	go test -tags faults -race -count=1 -timeout 3m -v ./internal/bench/faultinjector
 
+# Floods a real process with requests that don't end, and checks what it takes.
+flood:
+	go vet -tags flood ./internal/bench/flooder
+	go test -tags flood -count=1 -timeout 10m ./internal/bench/flooder
+
 fuzz:
 	go test -run XXX -fuzz FuzzDecodeMessage -fuzztime 20s ./internal/wire/coder
 	go test -run XXX -fuzz FuzzDecodeRecord -fuzztime 20s ./internal/wire/coder
--- /dev/null
+++ b/internal/bench/flooder/flooder_test.go
@@ -0,0 +1,110 @@
+//go:build flood
+
+package flooder
+
+import (
+	"bytes"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/heatherslip/heatherslip/platform/emulator"
+)
+
+// The crowd and the limits of the process. Unless the process limits them, the bodies alone
+// take 100 MiB, and the connections 400 descriptors.
+const (
+	connections = 400
+	// bodyBytes is the largest body of a client inside the limits.
+	bodyBytes = 256 << 10
+)
+
+var limits = Limits{MemoryMb: 64, MaxFds: 500}
+
+func buildProgram(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "heatherslip")
+	out, err := exec.Command("go", "build", "-o", binary, "../../../cmd/heatherslip").CombinedOutput()
+	must.NoError(t, err, must.Sprint(string(out)))
+	return binary
+}
+
+// padded returns a job of exactly bodyBytes.
+func padded() []byte {
+	job := emulator.JobBody(1, 10*time.Millisecond)
+	return append(bytes.Repeat([]byte(" "), bodyBytes-len(job)), job...)
+}
+
+// TestFloodOfRequestsLeavesLimits guards against a process that takes more than the memory
+// and the descriptors of its machine, ends, or serves nobody else, because many clients send
+// large bodies at once, most of which don't end.
+func TestFloodOfRequestsLeavesLimits(t *testing.T) {
+	cases := map[string][][]byte{
+		"headers without an end": {append(emulator.RawHeader("POST"), ("X: " + strings.Repeat("x", bodyBytes))...)},
+		"nothing":                {},
+	}
+	binary := buildProgram(t)
+	for name, request := range cases {
+		t.Run(name, func(t *testing.T) {
+			target, err := New(binary, t.TempDir(), limits)
+			must.NoError(t, err)
+			defer target.Close()
+			must.NoError(t, target.Serve(), must.Sprint("before the flood"))
+			must.SliceEmpty(t, target.Violations(), must.Sprint("before the flood"))
+			crowd := target.Send(connections, 50*time.Millisecond, request...)
+			served := target.Serve()
+			crowd.Close()
+			t.Log(name, target.Usage())
+			must.SliceEmpty(t, target.Violations())
+			must.NoError(t, served, must.Sprint("during the flood"))
+			must.NoError(t, target.Serve(), must.Sprint("after the flood"))
+		})
+	}
+}
+
+// TestLargestRequestIsServedInCalm guards against limits that a client inside the pages'
+// limits meets although nobody else is there.
+func TestLargestRequestIsServedInCalm(t *testing.T) {
+	job := padded()
+	binary := buildProgram(t)
+	target, err := New(binary, t.TempDir(), limits)
+	must.NoError(t, err)
+	defer target.Close()
+	cases := map[string]func(*http.Request){
+		"whole":          func(r *http.Request) { r.ContentLength = int64(len(job)) },
+		"chunked":        func(r *http.Request) { r.ContentLength = -1 },
+		"piece by piece": func(r *http.Request) { r.Body = &slowBody{Reader: bytes.NewReader(job)} },
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			must.NoError(t, target.ServeJob(func(id string) *http.Request {
+				r := emulator.NewJobRequest(target.Address(), id, 1, 10*time.Millisecond)
+				r.Body, r.ContentLength = &slowBody{Reader: bytes.NewReader(job), fast: true}, int64(len(job))
+				change(r)
+				return r
+			}))
+			must.SliceEmpty(t, target.Violations())
+		})
+	}
+}
+
+// slowBody is a body that is sent in parts, with pauses unless it is fast.
+type slowBody struct {
+	*bytes.Reader
+	fast bool
+}
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	if !b.fast {
+		time.Sleep(50 * time.Millisecond)
+		p = p[:min(len(p), bodyBytes/16)]
+	}
+	return b.Reader.Read(p)
+}
+
+func (*slowBody) Close() error { return nil }
--- a/internal/edge/starter/starter.go
+++ b/internal/edge/starter/starter.go
@@ -24,6 +24,7 @@
 	"github.com/heatherslip/heatherslip/internal/edge/follower"
 	"github.com/heatherslip/heatherslip/internal/edge/gateway"
 	"github.com/heatherslip/heatherslip/internal/edge/gossiper"
+	"github.com/heatherslip/heatherslip/internal/edge/limiter"
 	"github.com/heatherslip/heatherslip/internal/edge/logwriter"
 	"github.com/heatherslip/heatherslip/internal/wire/eventer"
 	"github.com/heatherslip/heatherslip/internal/wire/namer"
@@ -35,6 +36,17 @@
 	// idleTimeout how long an idle connection stays open.
 	readHeaderTimeout = 3 * time.Second
 	idleTimeout       = 15 * time.Second
+	// maxHeaderBytes bounds a request's header.
+	maxHeaderBytes = 32 << 10
+	// connectionBytes is the memory that is reckoned for a connection of a client, with its
+	// buffers, the header and the start of the body. All of them get a share of
+	// connectionsShare of the memory limit, and of half of the sockets.
+	connectionBytes    = 48 << 10
+	connectionsShare   = 4
+	connectionFdsShare = 2
+	// maxConnections bounds the connections of clients if no limits are stated.
+	maxConnections = 8192
+	minConnections = 16
 	// maintenanceInterval is the interval at which the settings file is checked for
 	// changes and dropped log lines are reported.
 	maintenanceInterval = time.Second
@@ -129,11 +141,9 @@
 		return err
 	}
 	n.driver.SetPeerSender(n)
-	clientListener, err := net.Listen("tcp", s.FrontAddress)
-	if err != nil {
+	if err := n.listenForClients(); err != nil {
 		return fmt.Errorf("listen for clients: %w", err)
 	}
-	n.clientServer = n.serveListener(clientListener, n.gateway)
 	probeMux := http.NewServeMux()
 	probeMux.HandleFunc(platform.ReadyPath, n.serveReadiness)
 	if err := n.listenAndServe(s.ReadyAddress, probeMux); err != nil {
@@ -156,18 +166,45 @@
 	return nil
 }
 
+func (n *Instance) listenForClients() error {
+	ln, err := limiter.Listen(n.settings.FrontAddress)
+	if err != nil {
+		return err
+	}
+	limited := limiter.NewListener(ln, connectionLimit(n.settings), func() { n.driver.Metrics().Count("connections_displaced", 1) })
+	n.clientServer = newServer(n.gateway)
+	n.clientServer.ConnState, n.clientServer.ConnContext = limited.ConnState, limited.ConnContext
+	n.serveListener(limited, n.clientServer)
+	return nil
+}
+
+// connectionLimit returns how many connections of clients may be open at once.
+func connectionLimit(s *platform.Settings) int {
+	limit := maxConnections
+	if s.SocketLimit > 0 {
+		limit = min(limit, s.SocketLimit/connectionFdsShare)
+	}
+	if s.MemoryLimit > 0 {
+		limit = min(limit, int(s.MemoryLimit/connectionsShare/connectionBytes))
+	}
+	return max(limit, minConnections)
+}
+
 func (n *Instance) listenAndServe(address string, h http.Handler) error {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
-	n.serveListener(ln, h)
+	n.serveListener(ln, newServer(h))
 	return nil
 }
 
-// serveListener starts a server that Close closes.
-func (n *Instance) serveListener(ln net.Listener, h http.Handler) *http.Server {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: nil}
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+}
+
+// serveListener lets a server serve a listener until Close closes it.
+func (n *Instance) serveListener(ln net.Listener, srv *http.Server) {
 	n.servers = append(n.servers, srv)
 	n.wg.Add(1)
 	go func() {
@@ -176,7 +213,6 @@
 			n.log.Error().Err(err).Str("address", ln.Addr().String()).Msg("listener failed")
 		}
 	}()
-	return srv
 }
 
 // serveReadiness answers the probes of the load balancer. An instance is ready if
