limiter: large bodies of requests share a budget of memory

What callers saw: in a trial, clients that sent many large bodies, most of which stopped just short of their end, ended a process: it ran out of memory.

Cause: each body was read into a buffer of its own, for up to 5 s, with no bound on the sum. Bodies of requests that get an answer without being read had no bound in time.

Change: buffers over 8 KiB are taken from a budget, a sixteenth of the memory limit. If it's used up, the body that has got no bytes for longest is given up and its caller gets 503 with Retry-After; the job never runs. The time for a body also holds where it isn't read.

Why this works: the memory of bodies is bounded whatever is sent. Those that don't end are the first to go, so they keep it from nobody, and ordinary jobs need none of it.

Evidence: TestFloodOfRequestsLeavesLimits, 400 connections with bodies of 256 KiB on a process with 64 MiB, failed before with 169 to 173 MiB for unfinished bodies and chunks. Measured: 33 to 39 MiB.

--- a/internal/bench/flooder/flooder_test.go
+++ b/internal/bench/flooder/flooder_test.go
@@ -40,13 +40,33 @@
 	return append(bytes.Repeat([]byte(" "), bodyBytes-len(job)), job...)
 }
 
+// pieces splits a request into parts.
+func pieces(request []byte, count int) [][]byte {
+	var out [][]byte
+	for n := range count {
+		out = append(out, request[len(request)*n/count:len(request)*(n+1)/count])
+	}
+	return out
+}
+
+func shortened(request []byte) []byte { return request[:len(request)-1] }
+
 // TestFloodOfRequestsLeavesLimits guards against a process that takes more than the memory
 // and the descriptors of its machine, ends, or serves nobody else, because many clients send
 // large bodies at once, most of which don't end.
 func TestFloodOfRequestsLeavesLimits(t *testing.T) {
+	job := padded()
 	cases := map[string][][]byte{
-		"headers without an end": {append(emulator.RawHeader("POST"), ("X: " + strings.Repeat("x", bodyBytes))...)},
-		"nothing":                {},
+		"whole bodies":                          {emulator.RawRequest("POST", job)},
+		"whole jobs with many tasks":            {emulator.RawRequest("POST", []byte(emulator.WideJobBody()))},
+		"bodies one byte short":                 {shortened(emulator.RawRequest("POST", job))},
+		"bodies piece by piece, one byte short": pieces(shortened(emulator.RawRequest("POST", job)), 8),
+		"large chunks without an end":           {emulator.RawChunkedRequest(job, 64<<10)},
+		"small chunks without an end":           {emulator.RawChunkedRequest(job, 16)},
+		"chunks piece by piece without an end":  pieces(emulator.RawChunkedRequest(job, 1<<10), 8),
+		"headers without an end":                {append(emulator.RawHeader("POST"), ("X: " + strings.Repeat("x", bodyBytes))...)},
+		"bodies of calls that have none":        {shortened(emulator.RawRequest("GET", job))},
+		"nothing":                               {},
 	}
 	binary := buildProgram(t)
 	for name, request := range cases {
--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -16,6 +15,7 @@
 	"github.com/heatherslip/heatherslip/internal/core/holder"
 	"github.com/heatherslip/heatherslip/internal/core/matcher"
 	"github.com/heatherslip/heatherslip/internal/core/scheduler"
+	"github.com/heatherslip/heatherslip/internal/edge/limiter"
 	"github.com/heatherslip/heatherslip/internal/wire/eventer"
 	"github.com/heatherslip/heatherslip/internal/wire/namer"
 	"github.com/heatherslip/heatherslip/platform"
@@ -30,8 +30,8 @@
 	// unavailableRetryAfter is sent as Retry-After if the gateway has no
 	// configuration yet or a job needs an unsupported feature.
 	unavailableRetryAfter = time.Second
-	// bodyReadTimeout bounds the time for reading a request body.
-	bodyReadTimeout = 5 * time.Second
+	// displacedRetryAfter is sent as Retry-After if a body was given up for others.
+	displacedRetryAfter = time.Second
 )
 
 // jobScheduler runs jobs and counts those of which no task has started.
@@ -40,9 +40,15 @@
 	PendingJobs(namer.Kind) int
 }
 
+// bodyReader reads the bodies of requests. limiter.Bodies implements it.
+type bodyReader interface {
+	Read(w http.ResponseWriter, r *http.Request, limit int64) (body []byte, release func(), err error)
+}
+
 // Gateway is the http.Handler for clients. Create one with New.
 type Gateway struct {
 	sched      jobScheduler
+	bodies     bodyReader
 	log        zerolog.Logger
 	routeTable atomic.Pointer[matcher.Table]
 	// drainDeadline is when this instance shuts down; nil if it isn't draining.
@@ -55,8 +61,8 @@
 
 // New returns a gateway without a configuration. Just after the start its requests wait
 // for ApplyConfig to be called; later it answers them with status 503 until then.
-func New(sched jobScheduler, log zerolog.Logger) *Gateway {
-	return &Gateway{sched: sched, log: log, startedAt: time.Now(), configured: make(chan struct{})}
+func New(sched jobScheduler, bodies bodyReader, log zerolog.Logger) *Gateway {
+	return &Gateway{sched: sched, bodies: bodies, log: log, startedAt: time.Now(), configured: make(chan struct{})}
 }
 
 // ApplyConfig replaces the configuration if c has a higher version. It reports
@@ -110,6 +116,7 @@
 // ServeHTTP serves the submission of a job and the number of pending jobs of a
 // route.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	limiter.LimitTime(w, r)
 	if g.drainDeadline.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
@@ -161,23 +168,12 @@
 }
 
 func (g *Gateway) submit(w http.ResponseWriter, r *http.Request, t *matcher.Table, route *matcher.Route, name namer.JobName, waited time.Duration) {
-	limit := int64(t.Limits.MaxBodyBytes)
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	// Without the deadline a client could send the body slowly forever.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	req, err := g.readJob(w, r, t)
 	if err != nil {
-		g.refuseUnreadableBody(w, r, err)
-		return
-	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-	req, err := platform.DecodeJob(body)
-	if err != nil {
-		g.refuseCall(w, r, http.StatusBadRequest, err.Error(), 0)
+		g.refuseUnreadableJob(w, r, err)
 		return
 	}
+	defer limiter.Serve(r.Context())()
 	if reason := unsupportedFeature(req, route); reason != "" {
 		g.refuseCall(w, r, http.StatusServiceUnavailable, reason, unavailableRetryAfter)
 		return
@@ -239,16 +235,43 @@
 	}
 }
 
-func (g *Gateway) refuseUnreadableBody(w http.ResponseWriter, r *http.Request, err error) {
+// jobError is an error in the body of a job. It is sent to the client.
+type jobError struct{ error }
+
+// readJob reads and decodes the body of a job.
+func (g *Gateway) readJob(w http.ResponseWriter, r *http.Request, t *matcher.Table) (*platform.JobRequest, error) {
+	limit := int64(t.Limits.MaxBodyBytes)
+	if limit <= 0 {
+		limit = defaultMaxBodyBytes
+	}
+	body, release, err := g.bodies.Read(w, r, limit)
+	defer release()
+	if err != nil {
+		return nil, err
+	}
+	req, err := platform.DecodeJob(body)
+	if err != nil {
+		return nil, jobError{err}
+	}
+	return req, nil
+}
+
+func (g *Gateway) refuseUnreadableJob(w http.ResponseWriter, r *http.Request, err error) {
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	var invalid jobError
+	switch {
+	case errors.As(err, &invalid):
+		g.refuseCall(w, r, http.StatusBadRequest, err.Error(), 0)
+	case errors.As(err, &tooLarge):
 		g.refuseCall(w, r, http.StatusRequestEntityTooLarge, "body is too large", 0)
-		return
-	}
-	if r.Context().Err() != nil {
+	case errors.Is(err, limiter.ErrDisplaced):
+		w.Header().Set("Connection", "close")
+		g.refuseCall(w, r, http.StatusServiceUnavailable, err.Error(), displacedRetryAfter)
+	case r.Context().Err() != nil:
 		panic(http.ErrAbortHandler)
+	default:
+		g.refuseCall(w, r, http.StatusBadRequest, "body can't be read", 0)
 	}
-	g.refuseCall(w, r, http.StatusBadRequest, "body can't be read", 0)
 }
 
 func (g *Gateway) refuseCall(w http.ResponseWriter, r *http.Request, status int, reason string, retryAfter time.Duration) {
--- a/internal/edge/starter/starter.go
+++ b/internal/edge/starter/starter.go
@@ -47,6 +47,10 @@
 	// maxConnections bounds the connections of clients if no limits are stated.
 	maxConnections = 8192
 	minConnections = 16
+	// bodiesShare is the share of the memory limit for large bodies that are being read or
+	// decoded; maxBodyMemory replaces it if there is no limit.
+	bodiesShare   = 16
+	maxBodyMemory = 64 << 20
 	// maintenanceInterval is the interval at which the settings file is checked for
 	// changes and dropped log lines are reported.
 	maintenanceInterval = time.Second
@@ -112,7 +116,7 @@
 		MaxLease: s.MaxLease, ResubmitAfter: s.ResubmitAfter, AwaitsEvacuations: true, DrainTime: s.DrainTime, SpreadFactor: s.SpreadFactor,
 		IgnoresInterference: o.IgnoresInterference,
 	}, log)
-	n.gateway = gateway.New(n.driver, log)
+	n.gateway = gateway.New(n.driver, limiter.NewBodies(bodyMemory(s)), log)
 	n.follower = follower.New(platform.NewStoreClient(s.StoreAddress), log, n, func() bool { return n.driver.Status().NeedsWorkerList })
 	n.driver.SetRefresher(n.follower.Refresh)
 	if err := n.startListeners(); err != nil {
@@ -190,6 +194,14 @@
 	return max(limit, minConnections)
 }
 
+// bodyMemory returns the memory for large bodies of requests, in bytes.
+func bodyMemory(s *platform.Settings) int64 {
+	if s.MemoryLimit <= 0 {
+		return maxBodyMemory
+	}
+	return s.MemoryLimit / bodiesShare
+}
+
 func (n *Instance) listenAndServe(address string, h http.Handler) error {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
