flooder: large bodies that take more memory once they are decoded

Whole bodies of 256 KiB with many steps or many dependencies take up to ten times their size to decode.

--- a/internal/bench/flooder/flooder_test.go
+++ b/internal/bench/flooder/flooder_test.go
@@ -40,6 +40,14 @@
 	return append(bytes.Repeat([]byte(" "), bodyBytes-len(job)), job...)
 }
 
+// filled returns a body of exactly bodyBytes that consists of a start, as many of the
+// elements as fit, and an end.
+func filled(start, element, end string) []byte {
+	n := (bodyBytes - len(start) - len(end) - 1) / len(element)
+	body := start + strings.Repeat(element, n) + strings.TrimSuffix(element, ",") + end
+	return append([]byte(body), bytes.Repeat([]byte(" "), max(0, bodyBytes-len(body)))...)[:bodyBytes]
+}
+
 // pieces splits a request into parts.
 func pieces(request []byte, count int) [][]byte {
 	var out [][]byte
@@ -58,6 +66,8 @@
 	job := padded()
 	cases := map[string][][]byte{
 		"whole bodies":                          {emulator.RawRequest("POST", job)},
+		"whole bodies with many steps":          {emulator.RawRequest("POST", filled(emulator.StepsStart, `{},`, emulator.StepsEnd))},
+		"whole bodies with many dependencies":   {emulator.RawRequest("POST", filled(emulator.DependenciesStart, `0,`, emulator.DependenciesEnd))},
 		"whole jobs with many tasks":            {emulator.RawRequest("POST", []byte(emulator.WideJobBody()))},
 		"bodies one byte short":                 {shortened(emulator.RawRequest("POST", job))},
 		"bodies piece by piece, one byte short": pieces(shortened(emulator.RawRequest("POST", job)), 8),
