server: large bodies on the own interface share a budget of memory

What callers saw: nothing yet. The same cause as on the users' platform: any number of bodies of up to 4 MiB were read at once, without a bound on their time.

Change: limiter.Bodies reads them, with 64 MiB for all and 30 s for each. A body that is given up is answered with overload and retry_ms; nothing has run.

Evidence: TestUnfinishedBodies, one body more than there is room for, failed before: no body was given up within 15 s.

--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -42,6 +42,7 @@
 
 // bodyReader reads the bodies of requests. limiter.Bodies implements it.
 type bodyReader interface {
+	LimitTime(w http.ResponseWriter, r *http.Request)
 	Read(w http.ResponseWriter, r *http.Request, limit int64) (body []byte, release func(), err error)
 }
 
@@ -116,7 +117,7 @@
 // ServeHTTP serves the submission of a job and the number of pending jobs of a
 // route.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	limiter.LimitTime(w, r)
+	g.bodies.LimitTime(w, r)
 	if g.drainDeadline.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/edge/gateway/gateway_test.go
+++ b/internal/edge/gateway/gateway_test.go
@@ -85,7 +85,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			sched := &fakeScheduler{result: c.result}
-			g := New(sched, limiter.NewBodies(1<<20), zerolog.Nop())
+			g := New(sched, limiter.NewBodies(1<<20, time.Minute), zerolog.Nop())
 			must.True(t, g.ApplyConfig(testConfig(1)))
 			w := serveCall(g, c.method, "h.example", c.path, c.body)
 			must.Eq(t, c.status, w.Code)
@@ -109,7 +109,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			sched := &fakeScheduler{result: scheduler.JobResult{Outcome: scheduler.Completed}}
-			g := New(sched, limiter.NewBodies(1<<20), zerolog.Nop())
+			g := New(sched, limiter.NewBodies(1<<20, time.Minute), zerolog.Nop())
 			g.startedAt = time.Now().Add(-c.uptime)
 			time.AfterFunc(20*time.Millisecond, func() { g.ApplyConfig(testConfig(1)) })
 			must.Eq(t, c.status, serveCall(g, "POST", "h.example", "/p/"+jobID, jobBody).Code)
@@ -123,7 +123,7 @@
 // TestConfigurationNeverReverts checks that a configuration of a lower or equal
 // version, such as an old copy from a peer, doesn't replace the current one.
 func TestConfigurationNeverReverts(t *testing.T) {
-	g := New(&fakeScheduler{}, limiter.NewBodies(1<<20), zerolog.Nop())
+	g := New(&fakeScheduler{}, limiter.NewBodies(1<<20, time.Minute), zerolog.Nop())
 	must.Eq(t, http.StatusServiceUnavailable, serveCall(g, "GET", "h.example", "/p/", "").Code)
 	must.True(t, g.ApplyConfig(testConfig(5, matcher.Route{Kind: "new", Host: "h.example", PathPrefix: "/new/"})))
 	must.False(t, g.ApplyConfig(testConfig(4)))
@@ -137,7 +137,7 @@
 // but closes connections and passes the time left to the scheduler.
 func TestDrainingClosesConnections(t *testing.T) {
 	sched := &fakeScheduler{result: scheduler.JobResult{Outcome: scheduler.Completed}}
-	g := New(sched, limiter.NewBodies(1<<20), zerolog.Nop())
+	g := New(sched, limiter.NewBodies(1<<20, time.Minute), zerolog.Nop())
 	g.ApplyConfig(testConfig(1))
 	must.Eq(t, "", serveCall(g, "POST", "h.example", "/p/"+jobID, jobBody).Header().Get("Connection"))
 	must.Eq(t, 0, sched.lastJob.ShutdownIn)
--- a/internal/edge/limiter/bodies.go
+++ b/internal/edge/limiter/bodies.go
@@ -16,8 +16,6 @@
 	minBufferBytes = 512
 	// growth is the factor by which the buffer of a body grows.
 	growth = 4
-	// readTimeout bounds the time for reading a body.
-	readTimeout = 5 * time.Second
 )
 
 // ErrDisplaced is returned for a body that was given up because others needed the memory.
@@ -26,7 +24,8 @@
 // Bodies reads the bodies of requests. All but small ones share a budget of memory. If it is
 // used up, the body that has got no bytes for longest is given up.
 type Bodies struct {
-	budget int64
+	budget  int64
+	timeout time.Duration
 
 	mu sync.Mutex
 	// released is signaled when used falls.
@@ -53,21 +52,22 @@
 	interrupt func()
 }
 
-// NewBodies returns a Bodies with a budget in bytes.
-func NewBodies(budget int64) *Bodies {
-	b := &Bodies{budget: budget, readings: list.New()}
+// NewBodies returns a Bodies with a budget in bytes. Each body has to be there within
+// timeout.
+func NewBodies(budget int64, timeout time.Duration) *Bodies {
+	b := &Bodies{budget: budget, timeout: timeout, readings: list.New()}
 	b.released = sync.NewCond(&b.mu)
 	return b
 }
 
 // LimitTime bounds the time for which the server reads the body of a request, also what is
 // left of it after the response.
-func LimitTime(w http.ResponseWriter, r *http.Request) {
+func (b *Bodies) LimitTime(w http.ResponseWriter, r *http.Request) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return
 	}
 	// Not supported by a writer that has no connection.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(readTimeout))
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(b.timeout))
 }
 
 // Read returns the body of a request, of at most limit bytes. release must be called once
@@ -82,7 +82,7 @@
 		// An error means that the connection is closed.
 		_ = controller.SetReadDeadline(time.Unix(1, 0))
 	}}
-	LimitTime(w, r)
+	b.LimitTime(w, r)
 	body, err = x.readAll(http.MaxBytesReader(w, r.Body, limit))
 	if x.finish() {
 		err = ErrDisplaced
--- a/internal/edge/limiter/bodies_test.go
+++ b/internal/edge/limiter/bodies_test.go
@@ -70,7 +70,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			b := NewBodies(c.budget)
+			b := NewBodies(c.budget, time.Minute)
 			srv := bodyServer(t, b, limit)
 			body := bytes.Repeat([]byte("0123456789abcdef"), int(c.bytes)/16+1)[:c.bytes]
 			status, read := post(t, srv.URL, bytes.NewReader(body), c.length)
@@ -87,7 +87,7 @@
 // Guards against unfinished bodies that keep all memory for bodies until they time out.
 func TestUnfinishedBodyGivesWay(t *testing.T) {
 	const size = 100 << 10
-	b := NewBodies(size + size/2)
+	b := NewBodies(size+size/2, time.Minute)
 	srv := bodyServer(t, b, size)
 	statuses := make(chan int)
 	var writers []*io.PipeWriter
--- a/internal/edge/server/evacuation.go
+++ b/internal/edge/server/evacuation.go
@@ -45,7 +45,7 @@
 		return
 	}
 	var body EvacuateBody
-	if err := decodeBody(rw, r, &body); err != nil {
+	if err := s.decodeBody(rw, r, &body); err != nil {
 		writeError(rw, err)
 		return
 	}
--- a/internal/edge/server/operator.go
+++ b/internal/edge/server/operator.go
@@ -160,7 +160,7 @@
 		return
 	}
 	var body PublishBody
-	if err := decodeBody(rw, r, &body); err != nil {
+	if err := s.decodeBody(rw, r, &body); err != nil {
 		writeError(rw, err)
 		return
 	}
--- a/internal/edge/server/response.go
+++ b/internal/edge/server/response.go
@@ -64,7 +64,7 @@
 	if errors.As(err, &apiErr) {
 		a.Code, a.Detail = apiErr.code, apiErr.detail
 	}
-	if a.Code == coder.CodeNotReady {
+	if a.Code == coder.CodeNotReady || a.Code == coder.CodeOverload {
 		a.RetryMillis = millisPerSecond
 	}
 	writeAnswer(rw, a)
--- a/internal/edge/server/server.go
+++ b/internal/edge/server/server.go
@@ -3,6 +3,7 @@
 package server
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -16,14 +17,18 @@
 
 	"github.com/heatherslip/heatherslip/internal/config/policyparser"
 	"github.com/heatherslip/heatherslip/internal/core/dispatcher"
+	"github.com/heatherslip/heatherslip/internal/edge/limiter"
 	"github.com/heatherslip/heatherslip/internal/wire/coder"
 	"github.com/heatherslip/heatherslip/internal/wire/namer"
 )
 
-// Limits of calls: the bytes of a body, the bytes of a task's payload, and the keys
-// that one call may cancel.
+// Limits of calls: the bytes of a body, the time in which it has to be there, the bytes of
+// all large bodies that are being read, the bytes of a task's payload, and the keys that one
+// call may cancel.
 const (
 	MaxBodyBytes    = 4 << 20
+	BodyTimeout     = 30 * time.Second
+	MaxBodyMemory   = 64 << 20
 	MaxPayloadBytes = 64 << 10
 	MaxCancelKeys   = 1000
 	maxHeaderBytes  = 16 << 10
@@ -37,6 +42,7 @@
 // Server serves the API of one instance. Use New to create one.
 type Server struct {
 	instance Instance
+	bodies   *limiter.Bodies
 	mux      *http.ServeMux
 	draining atomic.Bool
 }
@@ -54,7 +60,7 @@
 
 // New returns a Server for an instance.
 func New(instance Instance) *Server {
-	s := &Server{instance: instance, mux: http.NewServeMux()}
+	s := &Server{instance: instance, bodies: limiter.NewBodies(MaxBodyMemory, BodyTimeout), mux: http.NewServeMux()}
 	s.mux.HandleFunc("POST /v1/jobs", s.submitJob)
 	s.mux.HandleFunc("GET /v1/jobs/{key...}", s.fetchJob)
 	s.mux.HandleFunc("DELETE /v1/jobs/{key...}", s.cancelJob)
@@ -153,7 +159,7 @@
 
 func (s *Server) submitJob(rw http.ResponseWriter, r *http.Request) {
 	var body JobBody
-	if err := decodeBody(rw, r, &body); err != nil {
+	if err := s.decodeBody(rw, r, &body); err != nil {
 		writeError(rw, err)
 		return
 	}
@@ -252,7 +258,7 @@
 
 func (s *Server) submitRequest(rw http.ResponseWriter, r *http.Request) {
 	var body RequestBody
-	if err := decodeBody(rw, r, &body); err != nil {
+	if err := s.decodeBody(rw, r, &body); err != nil {
 		writeError(rw, err)
 		return
 	}
@@ -342,7 +348,7 @@
 
 func (s *Server) cancelJobs(rw http.ResponseWriter, r *http.Request) {
 	var body CancelBody
-	if err := decodeBody(rw, r, &body); err != nil {
+	if err := s.decodeBody(rw, r, &body); err != nil {
 		writeError(rw, err)
 		return
 	}
@@ -410,15 +416,21 @@
 	return team, nil
 }
 
-func decodeBody(rw http.ResponseWriter, r *http.Request, v any) error {
-	d := json.NewDecoder(http.MaxBytesReader(rw, r.Body, MaxBodyBytes))
-	d.DisallowUnknownFields()
-	err := d.Decode(v)
+func (s *Server) decodeBody(rw http.ResponseWriter, r *http.Request, v any) error {
+	body, release, err := s.bodies.Read(rw, r, MaxBodyBytes)
+	defer release()
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		return &apiError{coder.CodeTooLarge, fmt.Sprintf("the body is larger than %d bytes", MaxBodyBytes)}
+	case errors.Is(err, limiter.ErrDisplaced):
+		return &apiError{coder.CodeOverload, err.Error()}
+	case err != nil:
+		return badRequest("body: %v", err)
 	}
-	if err != nil {
+	d := json.NewDecoder(bytes.NewReader(body))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
 		return badRequest("body: %v", err)
 	}
 	if d.More() {
--- a/internal/edge/server/server_test.go
+++ b/internal/edge/server/server_test.go
@@ -1,8 +1,12 @@
 package server_test
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -139,6 +143,44 @@
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return submit("k3").status == http.StatusOK }), wait.Timeout(10*time.Second), wait.Gap(20*time.Millisecond)))
 }
 
+// TestUnfinishedBodies guards against clients that take all memory with large bodies that
+// don't end.
+func TestUnfinishedBodies(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	fleet, err := fleetstarter.New(ctx, fleetstarter.Options{
+		Site: emulator.AkademiaSite(), Instances: 1, Questionnaire: generator.SampleAkademia,
+		Token: generator.SampleAkademiaToken, Log: zerolog.Nop(),
+	})
+	must.NoError(t, err)
+	defer fleet.Close()
+	// One of them more than the memory for bodies has room for.
+	conns := make([]net.Conn, server.MaxBodyMemory/server.MaxBodyBytes+1)
+	for i := range conns {
+		conns[i], err = net.Dial("tcp", fleet.Daemon(0).APIAddress)
+		must.NoError(t, err)
+		defer conns[i].Close()
+		_, err = fmt.Fprintf(conns[i], "POST /v1/jobs HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", server.MaxBodyBytes)
+		must.NoError(t, err)
+		_, err = conns[i].Write(bytes.Repeat([]byte(" "), server.MaxBodyBytes-1))
+		must.NoError(t, err)
+	}
+	refused := make(chan *http.Response, len(conns))
+	for _, c := range conns {
+		must.NoError(t, c.SetReadDeadline(time.Now().Add(server.BodyTimeout/2)))
+		go func() {
+			response, _ := http.ReadResponse(bufio.NewReader(c), nil)
+			refused <- response
+		}()
+	}
+	response := <-refused
+	must.NotNil(t, response, must.Sprint("no body is given up for another one"))
+	must.Eq(t, http.StatusTooManyRequests, response.StatusCode)
+	must.Eq(t, "1", response.Header.Get("Retry-After"))
+	answer := sendCall(t, "http://"+fleet.Daemon(0).APIAddress, apiCall{method: "POST", path: "/v1/jobs", body: jobJSON, token: generator.SampleAkademiaToken})
+	must.Eq(t, http.StatusOK, answer.status)
+}
+
 func newKey(t *testing.T) string {
 	t.Helper()
 	key, err := namer.NewKey("")
--- a/internal/edge/starter/starter.go
+++ b/internal/edge/starter/starter.go
@@ -36,6 +36,8 @@
 	// idleTimeout how long an idle connection stays open.
 	readHeaderTimeout = 3 * time.Second
 	idleTimeout       = 15 * time.Second
+	// bodyTimeout bounds the time for reading a request's body.
+	bodyTimeout = 5 * time.Second
 	// maxHeaderBytes bounds a request's header.
 	maxHeaderBytes = 32 << 10
 	// connectionBytes is the memory that is reckoned for a connection of a client, with its
@@ -116,7 +118,7 @@
 		MaxLease: s.MaxLease, ResubmitAfter: s.ResubmitAfter, AwaitsEvacuations: true, DrainTime: s.DrainTime, SpreadFactor: s.SpreadFactor,
 		IgnoresInterference: o.IgnoresInterference,
 	}, log)
-	n.gateway = gateway.New(n.driver, limiter.NewBodies(bodyMemory(s)), log)
+	n.gateway = gateway.New(n.driver, limiter.NewBodies(bodyMemory(s), bodyTimeout), log)
 	n.follower = follower.New(platform.NewStoreClient(s.StoreAddress), log, n, func() bool { return n.driver.Status().NeedsWorkerList })
 	n.driver.SetRefresher(n.follower.Refresh)
 	if err := n.startListeners(); err != nil {
