--- a/internal/edge/limiter/bodies.go
+++ b/internal/edge/limiter/bodies.go
@@ -30,8 +30,8 @@
 	mu sync.Mutex
 	// released is signaled when used falls.
 	released *sync.Cond
-	// used is the memory of all buffers that count, leaving the part of it that belongs to
-	// bodies that were given up and not yet released.
+	// used is the memory of all buffers that count. leaving is the part of it that bodies
+	// which were given up are about to release.
 	used, leaving int64
 	// readings has the bodies with such buffers that are being read, the one that has got no
 	// bytes for longest first.
@@ -138,7 +138,8 @@
 }
 
 // reserve reserves size bytes more for a buffer, unless that is small. Other bodies are
-// given up for it. It reports whether this one wasn't.
+// given up for it, and their memory is waited for. It reports whether this body goes on: it
+// may be given up meanwhile.
 func (x *reading) reserve(size int64) bool {
 	if size <= smallBodyBytes {
 		return true
@@ -183,7 +184,8 @@
 	b.released.Broadcast()
 }
 
-// shrinkTo releases all but size of what is reserved, once a buffer was replaced.
+// shrinkTo releases what was reserved for the former buffer once one of size has replaced
+// it.
 func (x *reading) shrinkTo(size int64) {
 	if size > smallBodyBytes {
 		x.releaseAllBut(size)
--- a/internal/edge/starter/starter.go
+++ b/internal/edge/starter/starter.go
@@ -41,18 +41,19 @@
 	// maxHeaderBytes bounds a request's header.
 	maxHeaderBytes = 32 << 10
 	// connectionBytes is the memory that is reckoned for a connection of a client, with its
-	// buffers, the header and the start of the body. All of them get a share of
-	// connectionsShare of the memory limit, and of half of the sockets.
-	connectionBytes    = 48 << 10
-	connectionsShare   = 4
-	connectionFdsShare = 2
-	// maxConnections bounds the connections of clients if no limits are stated.
-	maxConnections = 8192
+	// buffers, the header and the start of the body.
+	connectionBytes = 48 << 10
+	// The connections of clients together get the memory limit divided by
+	// connectionsMemoryDivisor, and the limit of sockets by connectionsSocketDivisor.
+	connectionsMemoryDivisor = 4
+	connectionsSocketDivisor = 2
+	// minConnections and maxConnections bound the result.
 	minConnections = 16
-	// bodiesShare is the share of the memory limit for large bodies that are being read or
-	// decoded; maxBodyMemory replaces it if there is no limit.
-	bodiesShare   = 16
-	maxBodyMemory = 64 << 20
+	maxConnections = 8192
+	// The large bodies that are being read or decoded get the memory limit divided by
+	// bodiesMemoryDivisor, and defaultBodyMemory if there is no limit.
+	bodiesMemoryDivisor = 16
+	defaultBodyMemory   = 64 << 20
 	// maintenanceInterval is the interval at which the settings file is checked for
 	// changes and dropped log lines are reported.
 	maintenanceInterval = time.Second
@@ -188,10 +189,10 @@
 func connectionLimit(s *platform.Settings) int {
 	limit := maxConnections
 	if s.SocketLimit > 0 {
-		limit = min(limit, s.SocketLimit/connectionFdsShare)
+		limit = min(limit, s.SocketLimit/connectionsSocketDivisor)
 	}
 	if s.MemoryLimit > 0 {
-		limit = min(limit, int(s.MemoryLimit/connectionsShare/connectionBytes))
+		limit = min(limit, int(s.MemoryLimit/connectionsMemoryDivisor/connectionBytes))
 	}
 	return max(limit, minConnections)
 }
@@ -199,9 +200,9 @@
 // bodyMemory returns the memory for large bodies of requests, in bytes.
 func bodyMemory(s *platform.Settings) int64 {
 	if s.MemoryLimit <= 0 {
-		return maxBodyMemory
+		return defaultBodyMemory
 	}
-	return s.MemoryLimit / bodiesShare
+	return s.MemoryLimit / bodiesMemoryDivisor
 }
 
 func (n *Instance) listenAndServe(address string, h http.Handler) error {
