starter: a connection is reckoned with the bytes that aren't read yet

Bytes that are received and not read yet count as memory of the machine. A connection is reckoned at 96 KiB in place of 48.

--- a/internal/edge/starter/starter.go
+++ b/internal/edge/starter/starter.go
@@ -41,8 +41,8 @@
 	// maxHeaderBytes bounds a request's header.
 	maxHeaderBytes = 32 << 10
 	// connectionBytes is the memory that is reckoned for a connection of a client, with its
-	// buffers, the header and the start of the body.
-	connectionBytes = 48 << 10
+	// buffers, the header, the start of the body and the bytes that aren't read yet.
+	connectionBytes = 96 << 10
 	// The connections of clients together get the memory limit divided by
 	// connectionsMemoryDivisor, and the limit of sockets by connectionsSocketDivisor.
 	connectionsMemoryDivisor = 4
