gateway: the log and the answers have the start of a client's texts only

What operators saw: nothing yet. A refused call was logged with its whole path, host and method, and an error of the decoder repeats a number of any length, in the log and in the answer. The writer of the log drops lines, but by their number first.

Change: 200 bytes of each.

--- a/internal/bench/flooder/flooder_test.go
+++ b/internal/bench/flooder/flooder_test.go
@@ -136,6 +136,7 @@
 		"bodies one byte short":  shortened(emulator.RawRequest("POST", job)),
 		"chunks without an end":  emulator.RawChunkedRequest(job, 64<<10),
 		"not a job":              emulator.RawRequest("POST", bytes.Repeat([]byte("x"), bodyBytes)),
+		"long numbers":           emulator.RawRequest("POST", filled(emulator.StepsStart+`{"Count":`, `1`, "}"+emulator.StepsEnd)),
 		"long paths":             emulator.RawLongPath(24 << 10),
 		"headers without an end": append(emulator.RawHeader("POST"), ("X: " + strings.Repeat("x", bodyBytes))...),
 	}
--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,6 +33,8 @@
 	unavailableRetryAfter = time.Second
 	// displacedRetryAfter is sent as Retry-After if a body was given up for others.
 	displacedRetryAfter = time.Second
+	// maxTextBytes bounds each text of a client that is logged or sent back.
+	maxTextBytes = 200
 )
 
 // jobScheduler runs jobs and counts those of which no task has started.
@@ -276,12 +279,21 @@
 }
 
 func (g *Gateway) refuseCall(w http.ResponseWriter, r *http.Request, status int, reason string, retryAfter time.Duration) {
-	g.log.Info().Int("event", int(eventer.CallRefused)).Str("method", r.Method).Str("host", r.Host).Str("path", r.URL.Path).
+	reason = truncate(reason)
+	g.log.Info().Int("event", int(eventer.CallRefused)).Str("method", truncate(r.Method)).Str("host", truncate(r.Host)).Str("path", truncate(r.URL.Path)).
 		Int("status", status).Str("reason", reason).Msg(eventer.CallRefused.Name())
 	setRetryAfter(w, retryAfter)
 	writeJSON(w, status, platform.EncodeError(reason))
 }
 
+// truncate returns the start of a text, without the part of a character.
+func truncate(text string) string {
+	if len(text) <= maxTextBytes {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxTextBytes], "")
+}
+
 // setRetryAfter sets the Retry-After header, rounded up to whole seconds. A zero
 // duration sets none.
 func setRetryAfter(w http.ResponseWriter, d time.Duration) {
