limiter: one handler bounds the time of bodies and keeps connections, for any server

The gateway had to call the limiter at the start of each request and again once it was read. The limiter's handler does both now: it sees the end of the body itself. Several requests on one connection, as with HTTP/2, count. The limits of an instance have a file of their own. The bounds are the same; requests without a body keep their connection while they are served as well.

--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -45,7 +45,6 @@
 
 // bodyReader reads the bodies of requests. limiter.Bodies implements it.
 type bodyReader interface {
-	LimitTime(w http.ResponseWriter, r *http.Request)
 	Read(w http.ResponseWriter, r *http.Request, limit int64) (body []byte, release func(), err error)
 }
 
@@ -120,7 +119,6 @@
 // ServeHTTP serves the submission of a job and the number of pending jobs of a
 // route.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.bodies.LimitTime(w, r)
 	if g.drainDeadline.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
@@ -177,7 +175,6 @@
 		g.refuseUnreadableJob(w, r, err)
 		return
 	}
-	defer limiter.Serve(r.Context())()
 	if reason := unsupportedFeature(req, route); reason != "" {
 		g.refuseCall(w, r, http.StatusServiceUnavailable, reason, unavailableRetryAfter)
 		return
--- a/internal/edge/limiter/bodies.go
+++ b/internal/edge/limiter/bodies.go
@@ -60,12 +60,9 @@
 	return b
 }
 
-// LimitTime bounds the time for which the server reads the body of a request, also what is
-// left of it after the response.
-func (b *Bodies) LimitTime(w http.ResponseWriter, r *http.Request) {
-	if r.Body == nil || r.Body == http.NoBody {
-		return
-	}
+// limitTime bounds the time for which the server reads the body of a request from now on,
+// also what is left of it after the response.
+func (b *Bodies) limitTime(w http.ResponseWriter) {
 	// Not supported by a writer that has no connection.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(b.timeout))
 }
@@ -82,7 +79,7 @@
 		// An error means that the connection is closed.
 		_ = controller.SetReadDeadline(time.Unix(1, 0))
 	}}
-	b.LimitTime(w, r)
+	b.limitTime(w)
 	body, err = x.readAll(http.MaxBytesReader(w, r.Body, limit))
 	if x.finish() {
 		err = ErrDisplaced
@@ -117,12 +114,20 @@
 			continue
 		}
 		next := min(growth*int64(cap(buf)), x.size)
-		if !x.reserve(next) {
+		if !x.reserve(counted(next)) {
 			return nil, ErrDisplaced
 		}
 		buf = append(make([]byte, 0, next), buf...)
-		x.shrinkTo(next)
+		x.releaseAllBut(counted(next))
+	}
+}
+
+// counted returns what a buffer of a size takes of the budget.
+func counted(size int64) int64 {
+	if size <= smallBodyBytes {
+		return 0
 	}
+	return size
 }
 
 // recordProgress records that the body has got bytes.
@@ -137,11 +142,10 @@
 	}
 }
 
-// reserve reserves size bytes more for a buffer, unless that is small. Other bodies are
-// given up for it, and their memory is waited for. It reports whether this body goes on: it
-// may be given up meanwhile.
+// reserve reserves size bytes more. Other bodies are given up for it, and their memory is
+// waited for. It reports whether this body goes on: it may be given up meanwhile.
 func (x *reading) reserve(size int64) bool {
-	if size <= smallBodyBytes {
+	if size == 0 {
 		return true
 	}
 	b := x.bodies
@@ -184,14 +188,6 @@
 	b.released.Broadcast()
 }
 
-// shrinkTo releases what was reserved for the former buffer once one of size has replaced
-// it.
-func (x *reading) shrinkTo(size int64) {
-	if size > smallBodyBytes {
-		x.releaseAllBut(size)
-	}
-}
-
 // finish says that the body is read, so that it isn't given up any more. It reports whether
 // it was.
 func (x *reading) finish() (isDisplaced bool) {
@@ -206,6 +202,7 @@
 
 func (x *reading) release() { x.releaseAllBut(0) }
 
+// releaseAllBut releases what is reserved beyond size.
 func (x *reading) releaseAllBut(size int64) {
 	if x.reserved == size {
 		return
--- a/internal/edge/limiter/conns.go
+++ b/internal/edge/limiter/conns.go
@@ -30,7 +30,7 @@
 // the place of that on which no request has been served for longest: it is closed. While
 // requests are served on all of them, new ones are closed.
 //
-// An http.Server needs the listener's ConnState and ConnContext.
+// Track connects it with the server that serves it, whose handler is one of Handler.
 type Listener struct {
 	net.Listener
 	limit int
@@ -48,7 +48,9 @@
 type conn struct {
 	net.Conn
 	listener *Listener
-	// element is the connection's in Listener.waiting; nil while a request is served and once
+	// served is the number of requests that are served on the connection.
+	served int
+	// element is the connection's in Listener.waiting; nil while requests are served and once
 	// it is closed.
 	element  *list.Element
 	isClosed bool
@@ -123,8 +125,14 @@
 	return c.Conn.Close()
 }
 
-// ConnState is for http.Server.ConnState. A request that begins counts as progress.
-func (l *Listener) ConnState(accepted net.Conn, state http.ConnState) {
+// Track lets the listener know what a server does with its connections.
+func (l *Listener) Track(srv *http.Server) {
+	srv.ConnState = l.recordState
+	srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
+}
+
+// recordState records that a request begins, which counts as progress.
+func (l *Listener) recordState(accepted net.Conn, state http.ConnState) {
 	c, isOwn := accepted.(*conn)
 	if !isOwn || state != http.StateActive {
 		return
@@ -136,16 +144,12 @@
 	}
 }
 
+// connKey is the key of a request's connection in its context.
 type connKey struct{}
 
-// ConnContext is for http.Server.ConnContext.
-func (l *Listener) ConnContext(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
-}
-
-// Serve keeps the connection of a request, which was read whole, from being closed for
-// another one until done is called. ctx is the request's.
-func Serve(ctx context.Context) (done func()) {
+// keepOpen keeps the connection of a request from being closed for another one until done is
+// called. ctx is the request's.
+func keepOpen(ctx context.Context) (done func()) {
 	c, isOwn := ctx.Value(connKey{}).(*conn)
 	if !isOwn {
 		return func() {}
@@ -153,11 +157,13 @@
 	l := c.listener
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	c.served++
 	c.stopWaiting()
 	return func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		if !c.isClosed && c.element == nil {
+		c.served--
+		if c.served == 0 && !c.isClosed {
 			c.element = l.waiting.PushBack(c)
 		}
 	}
--- a/internal/edge/limiter/conns_test.go
+++ b/internal/edge/limiter/conns_test.go
@@ -27,6 +27,11 @@
 	return <-read == nil
 }
 
+// requestOn returns the context of a request on a connection.
+func requestOn(c net.Conn) context.Context {
+	return context.WithValue(context.Background(), connKey{}, c)
+}
+
 // Guards against clients that keep all connections without sending a whole request, and
 // against the loss of a connection on which a request is served.
 func TestConnectionAtLimit(t *testing.T) {
@@ -38,17 +43,21 @@
 	}{
 		"nothing was sent": {func(*Listener, []net.Conn) {}, 0},
 		"a request has begun on the oldest": {func(l *Listener, conns []net.Conn) {
-			l.ConnState(conns[0], http.StateActive)
+			l.recordState(conns[0], http.StateActive)
 		}, 1},
 		"a request is served on the oldest": {func(l *Listener, conns []net.Conn) {
-			Serve(l.ConnContext(context.Background(), conns[0]))
+			keepOpen(requestOn(conns[0]))
 		}, 1},
 		"a request was served on the oldest": {func(l *Listener, conns []net.Conn) {
-			Serve(l.ConnContext(context.Background(), conns[0]))()
+			keepOpen(requestOn(conns[0]))()
+		}, 1},
+		"one of two requests on the oldest was served": {func(_ *Listener, conns []net.Conn) {
+			keepOpen(requestOn(conns[0]))
+			keepOpen(requestOn(conns[0]))()
 		}, 1},
 		"one was closed": {func(_ *Listener, conns []net.Conn) { _ = conns[1].Close() }, 1},
 		"one was closed while it was served": {func(l *Listener, conns []net.Conn) {
-			done := Serve(l.ConnContext(context.Background(), conns[1]))
+			done := keepOpen(requestOn(conns[1]))
 			_ = conns[1].Close()
 			done()
 		}, 1},
@@ -99,7 +108,7 @@
 	}
 	first, err := l.Accept()
 	must.NoError(t, err)
-	done := Serve(l.ConnContext(context.Background(), first))
+	done := keepOpen(requestOn(first))
 	accepted := make(chan net.Conn)
 	go func() {
 		c, _ := l.Accept()
--- a/internal/edge/starter/starter.go
+++ b/internal/edge/starter/starter.go
@@ -36,24 +36,6 @@
 	// idleTimeout how long an idle connection stays open.
 	readHeaderTimeout = 3 * time.Second
 	idleTimeout       = 15 * time.Second
-	// bodyTimeout bounds the time for reading a request's body.
-	bodyTimeout = 5 * time.Second
-	// maxHeaderBytes bounds a request's header.
-	maxHeaderBytes = 32 << 10
-	// connectionBytes is the memory that is reckoned for a connection of a client, with its
-	// buffers, the header, the start of the body and the bytes that aren't read yet.
-	connectionBytes = 96 << 10
-	// The connections of clients together get the memory limit divided by
-	// connectionsMemoryDivisor, and the limit of sockets by connectionsSocketDivisor.
-	connectionsMemoryDivisor = 4
-	connectionsSocketDivisor = 2
-	// minConnections and maxConnections bound the result.
-	minConnections = 16
-	maxConnections = 8192
-	// The large bodies that are being read or decoded get the memory limit divided by
-	// bodiesMemoryDivisor, and defaultBodyMemory if there is no limit.
-	bodiesMemoryDivisor = 16
-	defaultBodyMemory   = 64 << 20
 	// maintenanceInterval is the interval at which the settings file is checked for
 	// changes and dropped log lines are reported.
 	maintenanceInterval = time.Second
@@ -77,6 +59,7 @@
 	log       zerolog.Logger
 	logWriter *logwriter.Writer
 	driver    *driver.Driver
+	bodies    *limiter.Bodies
 	gateway   *gateway.Gateway
 	follower  *follower.Follower
 	gossiper  *gossiper.Gossiper
@@ -119,7 +102,8 @@
 		MaxLease: s.MaxLease, ResubmitAfter: s.ResubmitAfter, AwaitsEvacuations: true, DrainTime: s.DrainTime, SpreadFactor: s.SpreadFactor,
 		IgnoresInterference: o.IgnoresInterference,
 	}, log)
-	n.gateway = gateway.New(n.driver, limiter.NewBodies(bodyMemory(s), bodyTimeout), log)
+	n.bodies = limiter.NewBodies(bodyMemory(s), bodyTimeout)
+	n.gateway = gateway.New(n.driver, n.bodies, log)
 	n.follower = follower.New(platform.NewStoreClient(s.StoreAddress), log, n, func() bool { return n.driver.Status().NeedsWorkerList })
 	n.driver.SetRefresher(n.follower.Refresh)
 	if err := n.startListeners(); err != nil {
@@ -179,32 +163,12 @@
 		return err
 	}
 	limited := limiter.NewListener(ln, connectionLimit(n.settings), func() { n.driver.Metrics().Count("connections_displaced", 1) })
-	n.clientServer = newServer(n.gateway)
-	n.clientServer.ConnState, n.clientServer.ConnContext = limited.ConnState, limited.ConnContext
+	n.clientServer = newServer(limiter.Handler(n.gateway, n.bodies))
+	limited.Track(n.clientServer)
 	n.serveListener(limited, n.clientServer)
 	return nil
 }
 
-// connectionLimit returns how many connections of clients may be open at once.
-func connectionLimit(s *platform.Settings) int {
-	limit := maxConnections
-	if s.SocketLimit > 0 {
-		limit = min(limit, s.SocketLimit/connectionsSocketDivisor)
-	}
-	if s.MemoryLimit > 0 {
-		limit = min(limit, int(s.MemoryLimit/connectionsMemoryDivisor/connectionBytes))
-	}
-	return max(limit, minConnections)
-}
-
-// bodyMemory returns the memory for large bodies of requests, in bytes.
-func bodyMemory(s *platform.Settings) int64 {
-	if s.MemoryLimit <= 0 {
-		return defaultBodyMemory
-	}
-	return s.MemoryLimit / bodiesMemoryDivisor
-}
-
 func (n *Instance) listenAndServe(address string, h http.Handler) error {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
