--- a/internal/edge/limiter/conns_test.go
+++ b/internal/edge/limiter/conns_test.go
@@ -45,10 +45,10 @@
 		"a request has begun on the oldest": {func(l *Listener, conns []net.Conn) {
 			l.recordState(conns[0], http.StateActive)
 		}, 1},
-		"a request is served on the oldest": {func(l *Listener, conns []net.Conn) {
+		"a request is served on the oldest": {func(_ *Listener, conns []net.Conn) {
 			keepOpen(requestOn(conns[0]))
 		}, 1},
-		"a request was served on the oldest": {func(l *Listener, conns []net.Conn) {
+		"a request was served on the oldest": {func(_ *Listener, conns []net.Conn) {
 			keepOpen(requestOn(conns[0]))()
 		}, 1},
 		"one of two requests on the oldest was served": {func(_ *Listener, conns []net.Conn) {
@@ -56,7 +56,7 @@
 			keepOpen(requestOn(conns[0]))()
 		}, 1},
 		"one was closed": {func(_ *Listener, conns []net.Conn) { _ = conns[1].Close() }, 1},
-		"one was closed while it was served": {func(l *Listener, conns []net.Conn) {
+		"one was closed while it was served": {func(_ *Listener, conns []net.Conn) {
 			done := keepOpen(requestOn(conns[1]))
 			_ = conns[1].Close()
 			done()
