server: connections and unread bodies on the own interface are limited

What callers saw: nothing yet. Clients that sent GETs with bodies of under 256 KiB that don't end kept their connections for good, as the server reads what is left of a body without a bound on time. With all descriptors in use nobody else got an answer.

Change: the limiter's handler and listener, as on the users' platform: 30 s for each body, whether it's read or not, and at most half of the descriptors, and 8,192, for clients. connections.displaced counts those that gave way.

--- a/internal/edge/server/daemon.go
+++ b/internal/edge/server/daemon.go
@@ -8,12 +8,15 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
 	"github.com/heatherslip/heatherslip/internal/config/settingsloader"
 	"github.com/heatherslip/heatherslip/internal/core/dispatcher"
+	"github.com/heatherslip/heatherslip/internal/edge/limiter"
 	"github.com/heatherslip/heatherslip/internal/edge/messenger"
 	"github.com/heatherslip/heatherslip/internal/edge/runner"
 	"github.com/heatherslip/heatherslip/internal/wire/eventer"
@@ -36,7 +39,7 @@
 // NewDaemon opens the listeners and starts the instance. It returns an error if
 // a listener cannot be opened or the instance cannot start.
 func NewDaemon(settings *settingsloader.Settings, log zerolog.Logger) (*Daemon, error) {
-	apiListener, err := net.Listen("tcp", settings.ListenAddress)
+	apiListener, err := limiter.Listen(settings.ListenAddress)
 	if err != nil {
 		return nil, fmt.Errorf("listen for clients: %w", err)
 	}
@@ -61,7 +64,7 @@
 		return nil, err
 	}
 	d.server = New(d.runner)
-	d.serveHTTP(d.server.HTTPServer(), apiListener)
+	d.serveAPI(apiListener)
 	mux := http.NewServeMux()
 	mux.Handle(messenger.Path, d.runner.LinkHandler())
 	d.serveHTTP(&http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}, wrapTLS(peerListener, settings.TLS))
@@ -69,6 +72,25 @@
 	return d, nil
 }
 
+// serveAPI serves clients and operators on a limited number of connections.
+func (d *Daemon) serveAPI(ln net.Listener) {
+	displaced := metrics.GetOrRegisterCounter("connections.displaced", d.runner.Metrics())
+	limited := limiter.NewListener(ln, connectionLimit(), func() { displaced.Inc(1) })
+	apiServer := d.server.HTTPServer()
+	limited.Track(apiServer)
+	d.serveHTTP(apiServer, limited)
+}
+
+// connectionLimit returns how many connections of clients may be open at once: half of the
+// descriptors that the process may have, and maxConnections at most.
+func connectionLimit() int {
+	var descriptors syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &descriptors); err != nil {
+		return maxConnections
+	}
+	return int(min(descriptors.Cur/2, maxConnections))
+}
+
 func parseMode(mode string) dispatcher.Mode {
 	if mode == "log" {
 		return dispatcher.ModeLog
@@ -106,6 +128,9 @@
 // PeerMessagesSent returns the number of messages sent to peers.
 func (d *Daemon) PeerMessagesSent() int { return d.runner.PeerMessagesSent() }
 
+// maxConnections bounds the connections of clients that are open at once.
+const maxConnections = 8192
+
 // shutdownTimeout is how long Close waits for calls in progress.
 const shutdownTimeout = 5 * time.Second
 
--- a/internal/edge/server/server.go
+++ b/internal/edge/server/server.go
@@ -94,7 +94,7 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
-		Handler:           s.mux,
+		Handler:           limiter.Handler(s.mux, s.bodies),
 		Protocols:         protocols,
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxConcurrentStreams},
 		ReadHeaderTimeout: headerTimeout,
