--- a/internal/bench/flooder/flooder_test.go
+++ b/internal/bench/flooder/flooder_test.go
@@ -78,6 +78,7 @@
 		"chunks piece by piece without an end":  pieces(emulator.RawChunkedRequest(job, 1<<10), 8),
 		"headers without an end":                {append(emulator.RawHeader("POST"), ("X: " + strings.Repeat("x", bodyBytes))...)},
 		"bodies of calls that have none":        {shortened(emulator.RawRequest("GET", job))},
+		"calls whose answers nobody reads":      {emulator.RawCalls(4 << 20)},
 		"nothing":                               {},
 	}
 	binary := buildProgram(t)
@@ -168,10 +169,11 @@
 		return append(header, bytes.Repeat([]byte(" "), sent)...)
 	}
 	cases := map[string][][]byte{
-		"bodies that don't end":          {unfinished("POST /v1/jobs", server.MaxBodyBytes, 1<<20)},
-		"bodies of calls that have none": {unfinished("GET /v1/home", 100<<10, 100<<10-1)},
-		"headers without an end":         {fmt.Appendf(nil, "GET /v1/home HTTP/1.1\r\nX: %s", strings.Repeat("x", 15<<10))},
-		"nothing":                        {},
+		"bodies that don't end":            {unfinished("POST /v1/jobs", server.MaxBodyBytes, 1<<20)},
+		"bodies of calls that have none":   {unfinished("GET /v1/home", 100<<10, 100<<10-1)},
+		"headers without an end":           {fmt.Appendf(nil, "GET /v1/home HTTP/1.1\r\nX: %s", strings.Repeat("x", 15<<10))},
+		"calls whose answers nobody reads": {bytes.Repeat([]byte("GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n"), 100_000)},
+		"nothing":                          {},
 	}
 	binary := buildProgram(t)
 	for name, request := range cases {
