--- a/internal/bench/flooder/instance.go
+++ b/internal/bench/flooder/instance.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/heatherslip/heatherslip/internal/bench/faultinjector"
+	"github.com/heatherslip/heatherslip/internal/bench/launcher"
 	"github.com/heatherslip/heatherslip/platform"
 	"github.com/heatherslip/heatherslip/platform/emulator"
 )
@@ -80,7 +81,7 @@
 func (i *Instance) start(binary, dir string, limits Limits) error {
 	// Connections between other processes have no ports on this address.
 	const ip = "127.0.1.1"
-	port, err := freePort(ip)
+	port, err := launcher.FreePort(ip)
 	if err != nil {
 		return err
 	}
--- a/internal/bench/flooder/own.go
+++ b/internal/bench/flooder/own.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strconv"
 
+	"github.com/heatherslip/heatherslip/internal/bench/launcher"
 	"github.com/heatherslip/heatherslip/internal/standin/emulator"
 )
 
@@ -44,7 +45,7 @@
 
 func (i *OwnInstance) start(binary, dir string, limits Limits) error {
 	const ip = "127.0.1.1"
-	port, err := freePort(ip)
+	port, err := launcher.FreePort(ip)
 	if err != nil {
 		return err
 	}
--- a/internal/bench/flooder/process.go
+++ b/internal/bench/flooder/process.go
@@ -6,13 +6,14 @@
 	"bufio"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/heatherslip/heatherslip/internal/bench/launcher"
 )
 
 // Limits bound what a process may take.
@@ -34,7 +35,7 @@
 	limits  Limits
 	cmd     *exec.Cmd
 	logPath string
-	exited  chan struct{}
+	exited  <-chan struct{}
 
 	mu sync.Mutex
 	// maxFds is the largest number of open descriptors that was seen.
@@ -43,35 +44,15 @@
 
 // startProcess starts a command, which writes its log to a path.
 func startProcess(cmd *exec.Cmd, logPath string, limits Limits) (*process, error) {
-	log, err := os.Create(logPath)
+	exited, err := launcher.Start(cmd, logPath)
 	if err != nil {
-		return nil, fmt.Errorf("create log: %w", err)
-	}
-	defer log.Close()
-	cmd.Stdout, cmd.Stderr = log, log
-	if err := cmd.Start(); err != nil {
-		return nil, fmt.Errorf("start instance: %w", err)
+		return nil, err
 	}
-	p := &process{limits: limits, cmd: cmd, logPath: logPath, exited: make(chan struct{})}
-	go func() {
-		defer close(p.exited)
-		// The exit status doesn't matter: that the process ended is a fault.
-		_ = cmd.Wait()
-	}()
+	p := &process{limits: limits, cmd: cmd, logPath: logPath, exited: exited}
 	go p.sampleFds()
 	return p, nil
 }
 
-// freePort returns a port that is free on an address.
-func freePort(ip string) (int, error) {
-	listener, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return 0, fmt.Errorf("find free port: %w", err)
-	}
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).Port, nil
-}
-
 // kill ends the process.
 func (p *process) kill() {
 	// Fails if the process has exited.
--- a/internal/bench/soaker/outages.go
+++ b/internal/bench/soaker/outages.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"github.com/heatherslip/heatherslip/internal/bench/launcher"
 	"github.com/heatherslip/heatherslip/platform/emulator"
 )
 
@@ -194,7 +195,7 @@
 	}
 	o.site.SetRoutes(routes)
 	o.site.PublishConfig()
-	if o.basePort, err = findBasePort(); err != nil {
+	if o.basePort, err = launcher.FreePort(instanceIP(0)); err != nil {
 		o.Close()
 		return nil, err
 	}
--- a/internal/bench/soaker/soaker.go
+++ b/internal/bench/soaker/soaker.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -19,6 +18,7 @@
 	"time"
 
 	"github.com/heatherslip/heatherslip/internal/bench/faultinjector"
+	"github.com/heatherslip/heatherslip/internal/bench/launcher"
 	"github.com/heatherslip/heatherslip/platform/emulator"
 )
 
@@ -85,7 +85,7 @@
 	name, ip, settingsPath string
 	mu                     sync.Mutex
 	cmd                    *exec.Cmd
-	exitedCh               chan struct{}
+	exitedCh               <-chan struct{}
 	// terminatedAt is when SIGTERM was last sent; zero if not since the last start.
 	terminatedAt time.Time
 	// restarting is true from a fault that ends the process until its next start.
@@ -114,7 +114,8 @@
 		return nil, err
 	}
 	s.site.StoreAddress = s.storeRelay.Addr()
-	if s.basePort, err = findBasePort(); err != nil {
+	// Each instance uses this port and those after it on its own address.
+	if s.basePort, err = launcher.FreePort(instanceIP(0)); err != nil {
 		s.Close()
 		return nil, err
 	}
@@ -137,39 +138,16 @@
 
 func instanceIP(n int) string { return fmt.Sprintf("127.0.0.%d", firstLoopbackHost+n) }
 
-// findBasePort returns a port that is free on the first instance's address. Each instance
-// uses this port and those after it on its own address.
-func findBasePort() (int, error) {
-	listener, err := net.Listen("tcp", instanceIP(0)+":0")
-	if err != nil {
-		return 0, fmt.Errorf("find free port: %w", err)
-	}
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).Port, nil
-}
-
 // startProcess starts the program and appends its output to the log file.
 func (p *process) startProcess(binary string) error {
-	logFile, err := os.OpenFile(p.settingsPath+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		return fmt.Errorf("open log: %w", err)
-	}
 	cmd := exec.Command(binary, "edge", "--settings", p.settingsPath)
-	cmd.Stdout, cmd.Stderr = logFile, logFile
-	if err := cmd.Start(); err != nil {
-		_ = logFile.Close()
-		return fmt.Errorf("start instance: %w", err)
+	exitedCh, err := launcher.Start(cmd, p.settingsPath+".log")
+	if err != nil {
+		return err
 	}
-	exitedCh := make(chan struct{})
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.cmd, p.exitedCh, p.terminatedAt, p.startedAt = cmd, exitedCh, time.Time{}, time.Now()
-	p.mu.Unlock()
-	go func() {
-		// The exit status doesn't matter, since many faults kill the process.
-		_ = cmd.Wait()
-		_ = logFile.Close()
-		close(exitedCh)
-	}()
 	return nil
 }
 
--- a/internal/edge/server/server_test.go
+++ b/internal/edge/server/server_test.go
@@ -37,17 +37,25 @@
 
 const jobJSON = `{"key":"k1","kind":"word","wait":true,"tasks":[{"cores":100,"memory":1,"payload":"run=10ms"}]}`
 
-// TestCalls guards against calls that are answered with the wrong status, code or
-// ran value, and against invalid calls that start a task.
-func TestCalls(t *testing.T) {
+// startFleet starts a fleet of the Akademia's, which ends with the test. The context is one
+// for the test's calls.
+func startFleet(t *testing.T, instances int) (context.Context, *fleetstarter.Fleet) {
+	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
-	defer cancel()
+	t.Cleanup(cancel)
 	fleet, err := fleetstarter.New(ctx, fleetstarter.Options{
-		Site: emulator.AkademiaSite(), Instances: 3, Questionnaire: generator.SampleAkademia,
+		Site: emulator.AkademiaSite(), Instances: instances, Questionnaire: generator.SampleAkademia,
 		Token: generator.SampleAkademiaToken, Log: zerolog.Nop(),
 	})
 	must.NoError(t, err)
-	defer fleet.Close()
+	t.Cleanup(fleet.Close)
+	return ctx, fleet
+}
+
+// TestCalls guards against calls that are answered with the wrong status, code or
+// ran value, and against invalid calls that start a task.
+func TestCalls(t *testing.T) {
+	_, fleet := startFleet(t, 3)
 	addr := "http://" + fleet.Daemon(0).APIAddress
 	must.Eq(t, http.StatusOK, sendCall(t, addr, apiCall{method: "POST", path: "/v1/jobs", body: jobJSON, token: generator.SampleAkademiaToken}).status)
 	starts := fleet.Platform.Stats().Starts
@@ -101,14 +109,7 @@
 // TestEvacuations requests the evacuation of a domain at one instance, twice, and takes
 // it back at another. Work there is refused meanwhile, and no other domain is known.
 func TestEvacuations(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
-	defer cancel()
-	fleet, err := fleetstarter.New(ctx, fleetstarter.Options{
-		Site: emulator.AkademiaSite(), Instances: 3, Questionnaire: generator.SampleAkademia,
-		Token: generator.SampleAkademiaToken, Log: zerolog.Nop(),
-	})
-	must.NoError(t, err)
-	defer fleet.Close()
+	ctx, fleet := startFleet(t, 3)
 	token := generator.SampleAkademiaToken
 	operator := client.New(fleet.Daemon(0).APIAddress, token, "")
 	defer operator.Close()
@@ -146,17 +147,11 @@
 // TestUnfinishedBodies guards against clients that take all memory with large bodies that
 // don't end.
 func TestUnfinishedBodies(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-	defer cancel()
-	fleet, err := fleetstarter.New(ctx, fleetstarter.Options{
-		Site: emulator.AkademiaSite(), Instances: 1, Questionnaire: generator.SampleAkademia,
-		Token: generator.SampleAkademiaToken, Log: zerolog.Nop(),
-	})
-	must.NoError(t, err)
-	defer fleet.Close()
+	_, fleet := startFleet(t, 1)
 	// One of them more than the memory for bodies has room for.
 	conns := make([]net.Conn, server.MaxBodyMemory/server.MaxBodyBytes+1)
 	for i := range conns {
+		var err error
 		conns[i], err = net.Dial("tcp", fleet.Daemon(0).APIAddress)
 		must.NoError(t, err)
 		defer conns[i].Close()
