--- a/internal/core/scheduler/life.go
+++ b/internal/core/scheduler/life.go
@@ -20,6 +20,16 @@
 	maxOrderDelay = 12 * time.Second
 )
 
+// restartSource says how a restart of a worker was found.
+type restartSource string
+
+// Sources of a restart, as they are shown to operators.
+const (
+	restartListed restartSource = "entry of the list"
+	restartPolled restartSource = "list of runs"
+	restartTold   restartSource = "told by a peer"
+)
+
 // bootFence returns the fence of the incarnation of a worker, or zero if its boot time
 // is unknown or implausible.
 func (s *Scheduler) bootFence(w *worker) namer.Fence {
--- a/internal/core/scheduler/poll.go
+++ b/internal/core/scheduler/poll.go
@@ -137,6 +137,7 @@
 		return
 	}
 	if w.isOvertaken(&e) {
+		// All that it says is known, or contradicted by the later list.
 		s.emit(Decision{Event: eventer.RunListOvertaken, Worker: w.id, Age: s.now.Sub(e.SentAt), Runs: w.missingRuns(&e)})
 		s.stopInDoubtRuns(w, e)
 		if !e.OutOfBand {
@@ -177,7 +178,8 @@
 
 // isOvertaken reports whether the list in a poll result may have been written before the
 // last one: responses on different connections overtake each other. A poll that was sent
-// before the last list arrived may have been answered before or after it.
+// before the last list arrived may have been answered before or after it; the order of two
+// lists of one millisecond is unknown.
 func (w *worker) isOvertaken(e *PollResult) bool {
 	return e.SentAt.Before(w.listedAt) && e.Clock <= w.listClock
 }
--- a/internal/core/scheduler/worker.go
+++ b/internal/core/scheduler/worker.go
@@ -30,9 +30,9 @@
 	removedAt time.Time
 	capacity  Resources
 	labels    []string
-	// bootTime identifies the incarnation that the fields below refer to, and entryBootTime
-	// that of the fields above, which are from the worker's entry in the list. The entry
-	// is never of a later incarnation.
+	// bootTime identifies the newest incarnation that is known, to which the fields below
+	// refer. The fields above are from the worker's entry in the list, whose incarnation is
+	// entryBootTime: never a later one.
 	bootTime, entryBootTime namer.UnixMillis
 	// restartedAt is when this instance found the incarnation.
 	restartedAt time.Time
@@ -304,16 +304,6 @@
 // incarnation than the one that is known, whose service, labels and capacity may differ.
 func (w *worker) isEntryOutdated() bool { return w.entryBootTime < w.bootTime }
 
-// restartSource says how a restart of a worker was found.
-type restartSource string
-
-// Sources of a restart, as they are shown to operators.
-const (
-	restartListed restartSource = "entry of the list"
-	restartPolled restartSource = "list of runs"
-	restartTold   restartSource = "told by a peer"
-)
-
 // resetIncarnation discards the state of a worker's earlier incarnation. Runs of
 // this instance may exist on either incarnation; the next poll result lists them.
 func (s *Scheduler) resetIncarnation(w *worker, bootTime namer.UnixMillis, source restartSource) {
