limiter: a call without a body keeps its connection on HTTP/2 too

What callers saw: nothing yet. On HTTP/2 a call without a body has a Body that is not http.NoBody, so a connection could be closed for a new one while calls were served on it. The length says that there is none. TestHandlerKeepsConnections failed before in that case.

--- a/internal/edge/limiter/handler.go
+++ b/internal/edge/limiter/handler.go
@@ -12,7 +12,7 @@
 // a request that was read whole open until next returns.
 func Handler(next http.Handler, bodies *Bodies) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Body == nil || r.Body == http.NoBody {
+		if r.ContentLength == 0 {
 			defer keepOpen(r.Context())()
 			next.ServeHTTP(w, r)
 			return
--- a/internal/edge/limiter/handler_test.go
+++ b/internal/edge/limiter/handler_test.go
@@ -16,15 +16,18 @@
 // against one that isn't there whole and keeps it.
 func TestHandlerKeepsConnections(t *testing.T) {
 	cases := map[string]struct {
-		body io.Reader
+		body   io.Reader
+		length int64
 		// read is how many bytes of the body the handler reads; -1 for all.
 		read int64
 		kept bool
 	}{
-		"no body":          {nil, 0, true},
-		"body read whole":  {strings.NewReader("body"), -1, true},
-		"body not read":    {strings.NewReader("body"), 0, false},
-		"part of the body": {strings.NewReader("body"), 2, false},
+		"no body":                      {nil, 0, 0, true},
+		"no body, on an HTTP/2 stream": {strings.NewReader(""), 0, 0, true},
+		"body read whole":              {strings.NewReader("body"), 4, -1, true},
+		"chunked body read whole":      {strings.NewReader("body"), -1, -1, true},
+		"body not read":                {strings.NewReader("body"), 4, 0, false},
+		"part of the body":             {strings.NewReader("body"), 4, 2, false},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -44,6 +47,7 @@
 				kept = l.waiting.Len() == 0
 			}), NewBodies(1<<20, time.Minute))
 			request := httptest.NewRequest(http.MethodPost, "/", c.body)
+			request.ContentLength = c.length
 			handler.ServeHTTP(httptest.NewRecorder(), request.WithContext(requestOn(accepted)))
 			must.Eq(t, c.kept, kept)
 			must.Eq(t, 1, l.waiting.Len())
