review: case 11, a late start runs in the next life of a minion beside its successor

The entry of a crashed minion expires, so that nobody calls its next life before the new entry is read. A late start for the former life begins there and is never stopped (TWICE, 1.6 s side by side).

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -7,4 +7,4 @@
 	echo "build the deploy file and run review/build-3.sh first" >&2
 	exit 2
 fi
-exec target/review-3/standins3 drain-waiting review/11/record.txt
+exec target/review-3/standins3 late-order review/11/record.txt
--- a/review/standins3/deployment.go
+++ b/review/standins3/deployment.go
@@ -54,7 +54,9 @@
 	// don't reach the store.
 	lastWrite map[string]time.Time
 	cut       map[string]bool
-	version   int
+	// ended has the lives of minions that are over.
+	ended   map[*minion]bool
+	version int
 }
 
 // node is an instance of the system.
@@ -71,7 +73,7 @@
 		return nil, err
 	}
 	d := &deployment{
-		rec: rec, dir: dir, store: &emulator.Store{}, done: make(chan struct{}), lastWrite: make(map[string]time.Time), cut: make(map[string]bool),
+		rec: rec, dir: dir, store: &emulator.Store{}, done: make(chan struct{}), lastWrite: make(map[string]time.Time), cut: make(map[string]bool), ended: make(map[*minion]bool),
 		block: fmt.Sprintf("127.%d.%d", 60+rand.IntN(180), 1+rand.IntN(250)), port: 21000 + 50*rand.IntN(200),
 	}
 	listener, err := net.Listen("tcp", d.storeAddress())
@@ -138,6 +140,12 @@
 	}
 	d.minions = append(d.minions, m)
 	d.rec.addf("minion %s in %s, %s, has %d thousandths of a core", m.id, zone, rack, cpu)
+	d.register(m)
+	return m, nil
+}
+
+// register writes a minion's entry at once and with each heartbeat.
+func (d *deployment) register(m *minion) {
 	d.writeEntry(m)
 	d.wg.Add(1)
 	go func() {
@@ -153,7 +161,18 @@
 			}
 		}
 	}()
-	return m, nil
+}
+
+// reborn starts the next life of a minion that has crashed, under its id. Its entry is not
+// written before register.
+func (d *deployment) reborn(m *minion) (*minion, error) {
+	next, err := newMinion(m.id, m.zone, m.rack, m.address, m.cpu, d.rec)
+	if err != nil {
+		return nil, err
+	}
+	d.minions = append(d.minions, next)
+	d.rec.addf("minion %s starts again", m.id)
+	return next, nil
 }
 
 // writeEntry writes a minion's entry, if it reaches the store.
@@ -161,7 +180,7 @@
 	entry := m.entry()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.cut[m.id] {
+	if d.cut[m.id] || d.ended[m] {
 		return
 	}
 	if _, listed := d.lastWrite[m.id]; !listed {
@@ -171,6 +190,14 @@
 	d.store.Put(serversTopic, m.id, entry)
 }
 
+// crash crashes a minion.
+func (d *deployment) crash(m *minion) {
+	d.mu.Lock()
+	d.ended[m] = true
+	d.mu.Unlock()
+	m.crash()
+}
+
 // setCut cuts a minion off from the store, or heals that.
 func (d *deployment) setCut(m *minion, isCut bool) {
 	d.mu.Lock()
--- a/review/standins3/main.go
+++ b/review/standins3/main.go
@@ -28,10 +28,7 @@
 type caseFunc func(d *deployment, trouble bool) (isBroken bool, err error)
 
 var cases = map[string]caseFunc{
-	"drain-waiting":   playDrainWaiting,
-	"cancel":          playCancel,
-	"anti-affinity":   playAntiAffinity,
-	"relisted-leaver": playRelistedLeaver,
+	"late-order": playLateOrder,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standins3/minion.go
+++ b/review/standins3/minion.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -23,6 +24,10 @@
 	// maxListedEnds is how many ends one response lists.
 	maxListedEnds  = 500
 	initialClockMs = 5000
+
+	startPath = "/heatherslip/run-start"
+	stopPath  = "/heatherslip/run-stop"
+	holdPath  = "/heatherslip/hold"
 )
 
 // work is what the Spec of a job says of the tasks of a step: how long they take, and what
@@ -65,6 +70,8 @@
 	born           time.Time
 	rec            *record
 	server         *http.Server
+	// late holds back a start; nil if there is none.
+	late *lateOrder
 
 	mu         sync.Mutex
 	state      string
@@ -132,6 +139,19 @@
 	return b
 }
 
+// crash ends the minion and all that runs on it.
+func (m *minion) crash() {
+	_ = m.server.Close()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, r := range m.active {
+		r.timer.Stop()
+		r.endedAt, r.how = time.Now(), "crashed"
+	}
+	m.active = make(map[string]*minionRun)
+	m.rec.addf("minion %s crashes", m.id)
+}
+
 // drain makes the minion report that it is draining and stays for a time.
 func (m *minion) drain(stays time.Duration) {
 	m.mu.Lock()
@@ -155,8 +175,15 @@
 		w.WriteHeader(http.StatusOK)
 		return
 	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if m.late != nil && m.late.hold(m, r.URL.Path, body) {
+		awaitNoAnswer(r)
+	}
 	var call minionCall
-	if err := json.NewDecoder(r.Body).Decode(&call); err != nil {
+	if err := json.Unmarshal(body, &call); err != nil {
 		m.answer(w, http.StatusBadRequest, nil)
 		return
 	}
@@ -173,11 +200,11 @@
 		return
 	}
 	switch r.URL.Path {
-	case "/heatherslip/run-start":
+	case startPath:
 		m.serveStart(w, &call)
-	case "/heatherslip/run-stop":
+	case stopPath:
 		m.serveStop(w, &call)
-	case "/heatherslip/hold":
+	case holdPath:
 		m.serveHold(w, r, &call)
 	default:
 		w.WriteHeader(http.StatusNotFound)
