--- a/review/standins3/deployment.go
+++ b/review/standins3/deployment.go
@@ -50,13 +50,13 @@
 	wg          sync.WaitGroup
 
 	mu sync.Mutex
-	// lastWrite has the time of the last write of each listed minion, cut the minions that
-	// don't reach the store.
+	// lastWrite has the time of the last write of each listed minion.
 	lastWrite map[string]time.Time
-	cut       map[string]bool
 	// ended has the lives of minions that are over.
 	ended   map[*minion]bool
 	version int
+	// unguarded is set if the minions do not check their capacity (AdmissionCheck).
+	unguarded bool
 }
 
 // node is an instance of the system.
@@ -73,7 +73,7 @@
 		return nil, err
 	}
 	d := &deployment{
-		rec: rec, dir: dir, store: &emulator.Store{}, done: make(chan struct{}), lastWrite: make(map[string]time.Time), cut: make(map[string]bool), ended: make(map[*minion]bool),
+		rec: rec, dir: dir, store: &emulator.Store{}, done: make(chan struct{}), lastWrite: make(map[string]time.Time), ended: make(map[*minion]bool),
 		block: fmt.Sprintf("127.%d.%d", 60+rand.IntN(180), 1+rand.IntN(250)), port: 21000 + 50*rand.IntN(200),
 	}
 	listener, err := net.Listen("tcp", d.storeAddress())
@@ -138,6 +138,7 @@
 	if err != nil {
 		return nil, err
 	}
+	m.unguarded = d.unguarded
 	d.minions = append(d.minions, m)
 	d.rec.addf("minion %s in %s, %s, has %d thousandths of a core", m.id, zone, rack, cpu)
 	d.register(m)
@@ -175,12 +176,12 @@
 	return next, nil
 }
 
-// writeEntry writes a minion's entry, if it reaches the store.
+// writeEntry writes a minion's entry, if its life isn't over.
 func (d *deployment) writeEntry(m *minion) {
 	entry := m.entry()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.cut[m.id] || d.ended[m] {
+	if d.ended[m] {
 		return
 	}
 	if _, listed := d.lastWrite[m.id]; !listed {
@@ -198,14 +199,6 @@
 	m.crash()
 }
 
-// setCut cuts a minion off from the store, or heals that.
-func (d *deployment) setCut(m *minion, isCut bool) {
-	d.mu.Lock()
-	d.cut[m.id] = isCut
-	d.mu.Unlock()
-	d.rec.addf("minion %s is cut off from the store: %v", m.id, isCut)
-}
-
 // publish writes a configuration with one queue.
 func (d *deployment) publish(stretch float64, targetLatencyMs, timeoutMs int) {
 	d.version++
@@ -216,7 +209,7 @@
 			"TargetLatencyMs": targetLatencyMs, "Priority": 0, "Service": serviceName, "MaxAttempts": 2, "Stretch": stretch,
 		}},
 		"Services": []any{map[string]any{
-			"Name": serviceName, "HealthPath": "/health", "MaxConnections": 64, "Protocol": "h1", "Tls": false, "AdmissionCheck": true, "Standby": false,
+			"Name": serviceName, "HealthPath": "/health", "MaxConnections": 64, "Protocol": "h1", "Tls": false, "AdmissionCheck": !d.unguarded, "Standby": false,
 		}},
 		"Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
 	})
--- a/review/standins3/main.go
+++ b/review/standins3/main.go
@@ -28,7 +28,8 @@
 type caseFunc func(d *deployment, trouble bool) (isBroken bool, err error)
 
 var cases = map[string]caseFunc{
-	"late-order": playLateOrder,
+	"late-order":   playLateOrder,
+	"frozen-owner": playFrozenOwner,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standins3/minion.go
+++ b/review/standins3/minion.go
@@ -62,20 +62,20 @@
 	return works[n], nil
 }
 
-// minion is one life of a minion with a guard, as the users' pages describe it.
+// minion is one life of a minion, as the users' pages describe it.
 type minion struct {
 	id, zone, rack string
 	address        string
 	cpu            int
-	born           time.Time
-	rec            *record
-	server         *http.Server
+	// unguarded is set if the minion starts what it is told to, also over its capacity.
+	unguarded bool
+	born      time.Time
+	rec       *record
+	server    *http.Server
 	// late holds back a start; nil if there is none.
 	late *lateOrder
 
 	mu         sync.Mutex
-	state      string
-	leavesAt   time.Time
 	sequence   int
 	fence      int64
 	leaseUntil int64
@@ -94,15 +94,18 @@
 	cpu       int
 	total     time.Duration
 	startedAt time.Time
-	endedAt   time.Time
-	how       string
-	timer     *time.Timer
-	minion    *minion
+	// fence is that of the start, and used what all runs took once it had begun.
+	fence   int64
+	used    int
+	endedAt time.Time
+	how     string
+	timer   *time.Timer
+	minion  *minion
 }
 
 func newMinion(id, zone, rack, address string, cpu int, rec *record) (*minion, error) {
 	m := &minion{
-		id: id, zone: zone, rack: rack, address: address, cpu: cpu, born: time.Now(), rec: rec, state: "ready",
+		id: id, zone: zone, rack: rack, address: address, cpu: cpu, born: time.Now(), rec: rec,
 		active: make(map[string]*minionRun), lastEnded: make(map[string]int64), changed: make(chan struct{}),
 	}
 	listener, err := net.Listen("tcp", address)
@@ -125,13 +128,10 @@
 	defer m.mu.Unlock()
 	m.sequence++
 	doc := map[string]any{
-		"Service": serviceName, "Address": m.address, "Zone": m.zone, "Version": "v1", "Slots": 8, "State": m.state, "ColdRemainingMs": 0,
+		"Service": serviceName, "Address": m.address, "Zone": m.zone, "Version": "v1", "Slots": 8, "State": "ready", "ColdRemainingMs": 0,
 		"Capacity": map[string]int{"Cpu": m.cpu, "MemMb": 32768, "Gpu": 0}, "Labels": []string{"a", m.rack},
 		"ClockMs": m.clockMs(), "Sequence": m.sequence, "born": m.born.UnixMilli(),
 	}
-	if m.state == "draining" {
-		doc["RemainingMs"] = max(0, time.Until(m.leavesAt).Milliseconds())
-	}
 	b, err := json.Marshal(doc)
 	if err != nil {
 		panic(err)
@@ -152,13 +152,6 @@
 	m.rec.addf("minion %s crashes", m.id)
 }
 
-// drain makes the minion report that it is draining and stays for a time.
-func (m *minion) drain(stays time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.state, m.leavesAt = "draining", time.Now().Add(stays)
-}
-
 type minionCall struct {
 	Task      string
 	Run       int64
@@ -258,11 +251,12 @@
 	for _, other := range m.active {
 		used += other.cpu
 	}
-	if used > m.cpu {
+	if used > m.cpu && !m.unguarded {
 		return "room"
 	}
 	run := &minionRun{
 		task: call.Task, run: call.Run, cpu: spec.Cpu, total: time.Duration(spec.Ms) * time.Millisecond, startedAt: time.Now(), minion: m,
+		fence: call.Fence, used: used,
 	}
 	m.active[name] = run
 	m.runs = append(m.runs, run)
