review: case 13, two owners start tasks on unguarded minions under one fence

An instance that takes its minions over again adopts the fence of the instance that had them, from a grant of that peer, and both start tasks under it.

--- a/review/standins3/main.go
+++ b/review/standins3/main.go
@@ -29,6 +29,7 @@
 
 var cases = map[string]caseFunc{
 	"late-order":   playLateOrder,
+	"two-owners":   playTwoOwners,
 	"frozen-owner": playFrozenOwner,
 }
 
