scheduler: log runs that their instance doesn't know, and stops that are rejected

The logs couldn't tell whether an instance knows a run that an owner reports on, nor whether a stop was rejected because of its fence. Both are logged now, as events 518 and 519.

--- a/internal/core/scheduler/peer.go
+++ b/internal/core/scheduler/peer.go
@@ -550,6 +550,7 @@
 func (s *Scheduler) handleRunProgress(e *RunProgress) {
 	r := s.runs[runKey{e.Task, e.Run}]
 	if r == nil {
+		s.emit(Decision{Event: eventer.RunUnknown, Job: e.Task.Job, Task: taskLabel(e.Task), Run: e.Run, Worker: e.Worker})
 		return
 	}
 	s.confirmRun(r)
--- a/internal/core/scheduler/run.go
+++ b/internal/core/scheduler/run.go
@@ -221,6 +221,7 @@
 	case e.WrongIncarnation:
 		s.removeRun(r)
 	case e.Fenced:
+		s.logFencedStop(r)
 		s.handleFenced(r.worker, e.Fence)
 		s.forwardStop(r)
 	case e.Acknowledged:
@@ -236,6 +237,15 @@
 	}
 }
 
+// logFencedStop logs that a worker has rejected a stop because of its fence.
+func (s *Scheduler) logFencedStop(r *run) {
+	d := Decision{Event: eventer.StopFenced, Job: r.taskID.Job, Task: taskLabel(r.taskID), Run: r.number, Worker: r.worker.id}
+	if owner := r.worker.owner; owner != nil {
+		d.Peer, d.Age = owner.name, s.now.Sub(owner.lastSeen)
+	}
+	s.emit(d)
+}
+
 // sendImmediatePoll polls a worker in addition to its pending long poll.
 func (s *Scheduler) sendImmediatePoll(w *worker) {
 	if w.isRefused() {
--- a/internal/edge/driver/decision_log.go
+++ b/internal/edge/driver/decision_log.go
@@ -28,6 +28,8 @@
 	eventer.RunMoved:         zerolog.InfoLevel,
 	eventer.RunMissing:       zerolog.InfoLevel,
 	eventer.RunOrphaned:      zerolog.InfoLevel,
+	eventer.RunUnknown:       zerolog.InfoLevel,
+	eventer.StopFenced:       zerolog.InfoLevel,
 	eventer.RunListOvertaken: zerolog.InfoLevel,
 }
 
--- a/internal/wire/eventer/events.go
+++ b/internal/wire/eventer/events.go
@@ -71,6 +71,8 @@
 	RunOrphaned         Event = 515
 	CapacityReserved    Event = 516
 	RunLost             Event = 517
+	RunUnknown          Event = 518
+	StopFenced          Event = 519
 	WorkerListed        Event = 520
 	WorkerDraining      Event = 521
 	WorkerRemoved       Event = 522
@@ -196,6 +198,8 @@
 		{RunOrphaned, "run abandoned", "A run was stopped because its instance is silent, or because its job was sent again to this instance."},
 		{CapacityReserved, "capacity reserved", "The owner of a worker has reserved capacity for a task of another instance; the line has what is left after it."},
 		{RunLost, "run lost", "A run was on a worker that has crashed. After the first crash its task gets a worker for itself, after the second its job fails."},
+		{RunUnknown, "run unknown", "A worker lists a run that its own instance doesn't know: the run was given up, and a late start has carried it out."},
+		{StopFenced, "stop rejected", "A worker has rejected the stop of a run because another instance has claimed the worker; the line has the supposed owner, and age_ms is how long that has been silent."},
 		{WorkerListed, "worker listed", "The platform lists a new worker."},
 		{WorkerDraining, "worker draining", "A worker is draining; left_ms is how long it stays at least. It gets only tasks that end well before, and none if that is unknown."},
 		{WorkerRemoved, "worker gone", "The platform no longer lists a worker."},
