scheduler: workers are called until no late start can reach them

The first worker crashed, its entry expired, and its next incarnation carried the start out beside the second run.

Cause: an owner forgets a worker whose entry is removed, and with it that a start may still be on its way. So the next incarnation gets no call with its fence before its new entry is read.

Change: an instance keeps track of a worker for as long as a start without an answer may take effect (12 s), calls it each 25 ms while it does not respond, and tells a new owner. The same for a start that is in flight as the entry is removed, and for a machine that has gone without a sign, whose connections aren't refused. The driver keeps the address for as long.

--- a/internal/core/scheduler/admission.go
+++ b/internal/core/scheduler/admission.go
@@ -264,6 +264,7 @@
 		s.removeOldPeers()
 		s.crashes.Expire(s.now)
 		s.forgetLostRuns()
+		s.forgetUntrackedWorkers()
 		s.repeatSpeedReports()
 		s.shareInterference()
 	}
--- a/internal/core/scheduler/guard.go
+++ b/internal/core/scheduler/guard.go
@@ -118,7 +118,7 @@
 
 // isClaimDue reports whether this instance has to claim a worker.
 func (s *Scheduler) isClaimDue(w *worker) bool {
-	return w.isUnclaimed() && w.owned && (w.listed || len(w.ownRuns) > 0) && !w.guard.claiming && !s.now.Before(w.guard.nextClaimAt)
+	return w.isUnclaimed() && w.owned && s.tracks(w) && !w.guard.claiming && !s.now.Before(w.guard.nextClaimAt)
 }
 
 // claim polls a worker with a fence that is higher than any known. A pending poll with a
--- a/internal/core/scheduler/life.go
+++ b/internal/core/scheduler/life.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/heatherslip/heatherslip/internal/wire/namer"
@@ -133,8 +134,57 @@
 	out.Fences = append(out.Fences, WorkerFence{Worker: w.id, BootTime: w.bootTime})
 }
 
-// mayGetLateStarts reports whether a start of this instance without a response may still
-// be on its way to a worker.
+// recordUnansweredStart records that a start on a worker got no response. sender is the peer
+// that has sent it, nil if this instance has.
+func (s *Scheduler) recordUnansweredStart(w *worker, sender *peer) {
+	w.unansweredAt = s.now
+	if w.owner != sender {
+		s.tellLateStarts(w)
+	}
+}
+
+// mayGetLateStarts reports whether a start without a response, or one in flight that may get
+// none, may still be on its way to a worker.
 func (s *Scheduler) mayGetLateStarts(w *worker) bool {
-	return !w.unansweredAt.IsZero() && s.now.Sub(w.unansweredAt) < maxOrderDelay
+	if !w.unansweredAt.IsZero() && s.now.Sub(w.unansweredAt) < maxOrderDelay {
+		return true
+	}
+	return slices.ContainsFunc(w.reservations, func(r reservation) bool { return r.starting })
+}
+
+// tracks reports whether this instance keeps track of a worker: the platform lists it, it has
+// runs of this instance, or its next incarnation may get a late start before it is listed.
+func (s *Scheduler) tracks(w *worker) bool {
+	return w.listed || len(w.ownRuns) > 0 || s.mayGetLateStarts(w)
+}
+
+// forgetUntrackedWorkers removes the workers that this instance keeps track of no longer.
+func (s *Scheduler) forgetUntrackedWorkers() {
+	for _, w := range slices.Clone(s.sortedWorkers) {
+		s.removeIfUnused(w)
+	}
+}
+
+// LateStart tells the owner of a worker that a start may still take effect there.
+type LateStart struct {
+	Worker namer.Worker `cbor:"1,keyasint"`
+	// Age is the time since the start got no response.
+	Age time.Duration `cbor:"2,keyasint"`
+}
+
+// tellLateStarts tells the owner of a worker of the starts without a response that it hasn't
+// sent itself.
+func (s *Scheduler) tellLateStarts(w *worker) {
+	if w.owner == nil || w.unansweredAt.IsZero() || !s.mayGetLateStarts(w) {
+		return
+	}
+	out := s.outboxOf(w.owner)
+	out.LateStarts = append(out.LateStarts, LateStart{Worker: w.id, Age: s.now.Sub(w.unansweredAt)})
+}
+
+// handleLateStart records what a peer knows of starts that may still take effect.
+func (s *Scheduler) handleLateStart(e *LateStart) {
+	if w := s.workers[e.Worker]; w != nil {
+		w.unansweredAt = later(w.unansweredAt, s.now.Add(-max(0, e.Age)))
+	}
 }
--- a/internal/core/scheduler/message.go
+++ b/internal/core/scheduler/message.go
@@ -32,6 +32,7 @@
 	RunSizes      []RunSize      `cbor:"25,keyasint,omitempty"`
 	FenceRequests []namer.Worker `cbor:"26,keyasint,omitempty"`
 	Fences        []WorkerFence  `cbor:"27,keyasint,omitempty"`
+	LateStarts    []LateStart    `cbor:"28,keyasint,omitempty"`
 }
 
 // RunRef identifies a run and its worker.
@@ -153,7 +154,7 @@
 func (m *PeerMessage) isEmpty() bool {
 	return len(m.ReserveRequests)+len(m.ReserveResponses)+len(m.Cancellations)+len(m.RunEnds)+len(m.RunEndAcks)+len(m.Progress)+
 		len(m.Stops)+len(m.StartOrders)+len(m.StartReports)+len(m.Crashes)+len(m.Speeds)+len(m.Interference)+
-		len(m.SizeRequests)+len(m.RunSizes)+len(m.FenceRequests)+len(m.Fences) == 0
+		len(m.SizeRequests)+len(m.RunSizes)+len(m.FenceRequests)+len(m.Fences)+len(m.LateStarts) == 0
 }
 
 // addStartOrder adds a start order and the payload of its job.
@@ -187,7 +188,7 @@
 	}
 	n := max(len(m.ReserveRequests), len(m.ReserveResponses), len(m.Cancellations), len(m.RunEnds), len(m.RunEndAcks), len(m.Progress),
 		len(m.Stops), len(m.StartReports), len(m.Crashes), len(m.Speeds), len(m.Interference),
-		len(m.SizeRequests), len(m.RunSizes), len(m.FenceRequests), len(m.Fences))
+		len(m.SizeRequests), len(m.RunSizes), len(m.FenceRequests), len(m.Fences), len(m.LateStarts))
 	if n == 0 {
 		return first, second, false
 	}
@@ -198,7 +199,7 @@
 		second = PeerMessage{
 			RunEnds: m.RunEnds, RunEndAcks: m.RunEndAcks, Progress: m.Progress, Stops: m.Stops, StartReports: m.StartReports, Crashes: m.Crashes,
 			Speeds: m.Speeds, Interference: m.Interference,
-			SizeRequests: m.SizeRequests, RunSizes: m.RunSizes, FenceRequests: m.FenceRequests, Fences: m.Fences,
+			SizeRequests: m.SizeRequests, RunSizes: m.RunSizes, FenceRequests: m.FenceRequests, Fences: m.Fences, LateStarts: m.LateStarts,
 		}
 		return first, second, !first.isEmpty() && !second.isEmpty()
 	}
@@ -218,6 +219,7 @@
 	first.RunSizes, second.RunSizes = m.RunSizes[:min(half, len(m.RunSizes))], m.RunSizes[min(half, len(m.RunSizes)):]
 	first.FenceRequests, second.FenceRequests = m.FenceRequests[:min(half, len(m.FenceRequests))], m.FenceRequests[min(half, len(m.FenceRequests)):]
 	first.Fences, second.Fences = m.Fences[:min(half, len(m.Fences))], m.Fences[min(half, len(m.Fences)):]
+	first.LateStarts, second.LateStarts = m.LateStarts[:min(half, len(m.LateStarts))], m.LateStarts[min(half, len(m.LateStarts)):]
 	return first, second, true
 }
 
--- a/internal/core/scheduler/ownership.go
+++ b/internal/core/scheduler/ownership.go
@@ -70,6 +70,7 @@
 	if wasOwned {
 		s.handOverSpeed(w)
 	}
+	s.tellLateStarts(w)
 	w.resetGuard()
 	w.runsListed = false
 	if !owned {
@@ -136,7 +137,7 @@
 // because it has runs there and the owner doesn't report on them.
 func (s *Scheduler) shouldPoll(w *worker) bool {
 	if w.owned {
-		return w.listed || len(w.ownRuns) > 0
+		return s.tracks(w)
 	}
 	if len(w.ownRuns) == 0 {
 		return false
--- a/internal/core/scheduler/peer.go
+++ b/internal/core/scheduler/peer.go
@@ -451,6 +451,9 @@
 	for i := range e.Message.Fences {
 		s.handleFence(&e.Message.Fences[i])
 	}
+	for i := range e.Message.LateStarts {
+		s.handleLateStart(&e.Message.LateStarts[i])
+	}
 	for _, r := range e.Message.SizeRequests {
 		s.handleSizeRequest(p, r)
 	}
--- a/internal/core/scheduler/poll.go
+++ b/internal/core/scheduler/poll.go
@@ -215,8 +215,8 @@
 		return
 	}
 	w.nextPollAt = s.now.Add(min(pollBackoff<<min(w.failedPolls, 4), maxPollBackoff))
-	if e.Refused && s.mayGetLateStarts(w) {
-		// The new incarnation is to see its fence before they arrive.
+	if s.mayGetLateStarts(w) {
+		// The next incarnation is to see its fence before they arrive.
 		w.nextPollAt = s.now.Add(pollBackoff)
 	}
 	w.failedPolls++
--- a/internal/core/scheduler/run.go
+++ b/internal/core/scheduler/run.go
@@ -109,7 +109,8 @@
 		if doubt := doubtAfter(e.Latency, timeout); w.crashed && doubt.counts(true) {
 			s.recordLostRun(w, &CrashReport{RunRef: RunRef{w.id, e.Task, e.Run}, Evidence: doubt.evidence(false)})
 		}
-		w.suspected, w.unansweredAt = true, s.now
+		w.suspected = true
+		s.recordUnansweredStart(w, nil)
 		s.sendImmediatePoll(w)
 	case StartNotSent:
 		w.suspected = true
@@ -167,6 +168,7 @@
 	r.inDoubt = true
 	r.inDoubtSince = s.now
 	if !r.orderedAt.IsZero() {
+		s.recordUnansweredStart(r.worker, r.grantedBy)
 		s.sendImmediatePoll(r.worker)
 	}
 	if r.task != nil {
--- a/internal/core/scheduler/worker.go
+++ b/internal/core/scheduler/worker.go
@@ -23,7 +23,7 @@
 	leavesAt time.Time
 	// listed is false before the worker is known from the platform's list, which a peer
 	// may have newer, and once the platform has removed it. The entry stays while runs
-	// of this instance may exist there.
+	// of this instance may exist there, or late starts may arrive.
 	listed bool
 	// removed is set once the platform has removed the worker, at removedAt.
 	removed   bool
@@ -79,7 +79,7 @@
 	crashed  bool
 	lostRuns []RunRef
 	// refusedAt is when the worker has rejected the highest fence that is known here; zero
-	// if it has not. unansweredAt is when a start of this instance last got no response.
+	// if it has not. unansweredAt is when a start last got no response, as far as is known.
 	refusedAt    time.Time
 	unansweredAt time.Time
 	// runsBeforeRestart are the runs that were known when the worker turned out to have
@@ -279,6 +279,12 @@
 	return w != nil && w.listed
 }
 
+// Tracks reports whether this instance may call a worker, as of the last step.
+func (s *Scheduler) Tracks(id namer.Worker) bool {
+	w := s.workers[id]
+	return w != nil && s.tracks(w)
+}
+
 func (s *Scheduler) updateWorker(w *worker, info *WorkerInfo) {
 	wasDraining := w.draining
 	w.service, w.domain, w.draining, w.listed, w.removed = info.Service, info.Domain, info.Draining, true, false
@@ -327,9 +333,9 @@
 	w.nextPollAt = s.now
 }
 
-// removeIfUnused removes a worker that is not listed and has no own runs.
+// removeIfUnused removes a worker that this instance keeps track of no longer.
 func (s *Scheduler) removeIfUnused(w *worker) {
-	if w.listed || len(w.ownRuns) > 0 {
+	if s.tracks(w) {
 		return
 	}
 	delete(s.workers, w.id)
--- a/internal/edge/driver/driver.go
+++ b/internal/edge/driver/driver.go
@@ -260,14 +260,19 @@
 }
 
 // forgetRemovedWorkers discards the addresses and connections of workers that were
-// removed removedWorkerRetention ago and have not been listed again.
+// removed removedWorkerRetention ago, have not been listed again and are not called any more.
 func (d *Driver) forgetRemovedWorkers() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for len(d.removedWorkers) > 0 && time.Since(d.removedWorkers[0].removedAt) > removedWorkerRetention {
 		id := d.removedWorkers[0].id
 		d.removedWorkers = d.removedWorkers[1:]
-		if w := d.workers[id]; w != nil && !d.sched.IsListed(id) {
+		w := d.workers[id]
+		switch {
+		case w == nil, d.sched.IsListed(id):
+		case d.sched.Tracks(id):
+			d.removedWorkers = append(d.removedWorkers, removedWorker{id, time.Now()})
+		default:
 			w.close()
 			delete(d.workers, id)
 		}
