scheduler: runs that their own instance doesn't know are stopped

Cause: an owner extends the lease of a run as long as its instance is alive, and tells that instance of its progress. The instance ignored progress of a run that it had given up; event 518 showed it each 100 ms until the run's end. The same where an instance owns the worker itself: a listed run with its own run tag counted as its own, though its table has no such run.

Change: an instance answers progress and size requests on a run that it doesn't know, and the owner stops the run with each list until it is gone. A run of the own tag that isn't in the table is stopped likewise. Progress that waits to be sent is dropped when the run ends, so that nothing is sent or stopped for it in calm.

--- a/internal/core/scheduler/guard.go
+++ b/internal/core/scheduler/guard.go
@@ -271,10 +271,13 @@
 
 // handleSizeRequest tells a peer the size of a run of this instance.
 func (s *Scheduler) handleSizeRequest(p *peer, ref RunRef) {
-	if r := s.runs[runKey{ref.Task, ref.Run}]; r != nil && r.worker.id == ref.Worker {
-		out := s.outboxOf(p)
-		out.RunSizes = append(out.RunSizes, RunSize{ref, r.size})
+	r := s.ownRun(ref)
+	if r == nil {
+		s.disownRun(p, ref)
+		return
 	}
+	out := s.outboxOf(p)
+	out.RunSizes = append(out.RunSizes, RunSize{ref, r.size})
 }
 
 // handleRunSize records the size of another instance's run.
--- a/internal/core/scheduler/message.go
+++ b/internal/core/scheduler/message.go
@@ -33,6 +33,9 @@
 	FenceRequests []namer.Worker `cbor:"26,keyasint,omitempty"`
 	Fences        []WorkerFence  `cbor:"27,keyasint,omitempty"`
 	LateStarts    []LateStart    `cbor:"28,keyasint,omitempty"`
+	// UnknownRuns names the runs of the sender, on workers of the receiver, that it doesn't
+	// know.
+	UnknownRuns []RunRef `cbor:"29,keyasint,omitempty"`
 }
 
 // RunRef identifies a run and its worker.
@@ -154,7 +157,7 @@
 func (m *PeerMessage) isEmpty() bool {
 	return len(m.ReserveRequests)+len(m.ReserveResponses)+len(m.Cancellations)+len(m.RunEnds)+len(m.RunEndAcks)+len(m.Progress)+
 		len(m.Stops)+len(m.StartOrders)+len(m.StartReports)+len(m.Crashes)+len(m.Speeds)+len(m.Interference)+
-		len(m.SizeRequests)+len(m.RunSizes)+len(m.FenceRequests)+len(m.Fences)+len(m.LateStarts) == 0
+		len(m.SizeRequests)+len(m.RunSizes)+len(m.FenceRequests)+len(m.Fences)+len(m.LateStarts)+len(m.UnknownRuns) == 0
 }
 
 // addStartOrder adds a start order and the payload of its job.
@@ -188,7 +191,7 @@
 	}
 	n := max(len(m.ReserveRequests), len(m.ReserveResponses), len(m.Cancellations), len(m.RunEnds), len(m.RunEndAcks), len(m.Progress),
 		len(m.Stops), len(m.StartReports), len(m.Crashes), len(m.Speeds), len(m.Interference),
-		len(m.SizeRequests), len(m.RunSizes), len(m.FenceRequests), len(m.Fences), len(m.LateStarts))
+		len(m.SizeRequests), len(m.RunSizes), len(m.FenceRequests), len(m.Fences), len(m.LateStarts), len(m.UnknownRuns))
 	if n == 0 {
 		return first, second, false
 	}
@@ -199,7 +202,7 @@
 		second = PeerMessage{
 			RunEnds: m.RunEnds, RunEndAcks: m.RunEndAcks, Progress: m.Progress, Stops: m.Stops, StartReports: m.StartReports, Crashes: m.Crashes,
 			Speeds: m.Speeds, Interference: m.Interference,
-			SizeRequests: m.SizeRequests, RunSizes: m.RunSizes, FenceRequests: m.FenceRequests, Fences: m.Fences, LateStarts: m.LateStarts,
+			SizeRequests: m.SizeRequests, RunSizes: m.RunSizes, FenceRequests: m.FenceRequests, Fences: m.Fences, LateStarts: m.LateStarts, UnknownRuns: m.UnknownRuns,
 		}
 		return first, second, !first.isEmpty() && !second.isEmpty()
 	}
@@ -220,6 +223,7 @@
 	first.FenceRequests, second.FenceRequests = m.FenceRequests[:min(half, len(m.FenceRequests))], m.FenceRequests[min(half, len(m.FenceRequests)):]
 	first.Fences, second.Fences = m.Fences[:min(half, len(m.Fences))], m.Fences[min(half, len(m.Fences)):]
 	first.LateStarts, second.LateStarts = m.LateStarts[:min(half, len(m.LateStarts))], m.LateStarts[min(half, len(m.LateStarts)):]
+	first.UnknownRuns, second.UnknownRuns = m.UnknownRuns[:min(half, len(m.UnknownRuns))], m.UnknownRuns[min(half, len(m.UnknownRuns)):]
 	return first, second, true
 }
 
--- a/internal/core/scheduler/peer.go
+++ b/internal/core/scheduler/peer.go
@@ -440,7 +440,7 @@
 		s.handleRunEndAck(&e.Message.RunEndAcks[i])
 	}
 	for i := range e.Message.Progress {
-		s.handleRunProgress(&e.Message.Progress[i])
+		s.handleRunProgress(p, &e.Message.Progress[i])
 	}
 	for _, r := range e.Message.Stops {
 		s.emit(Stop{Worker: r.Worker, Task: r.Task, Run: r.Run})
@@ -451,6 +451,9 @@
 	for i := range e.Message.Fences {
 		s.handleFence(&e.Message.Fences[i])
 	}
+	for _, r := range e.Message.UnknownRuns {
+		s.handleUnknownRun(p, r)
+	}
 	for i := range e.Message.LateStarts {
 		s.handleLateStart(&e.Message.LateStarts[i])
 	}
@@ -475,10 +478,11 @@
 	if p == nil || p.name == "" {
 		return
 	}
+	ref := RunRef{w.id, e.Task, e.Run}
 	out := s.outboxOf(p)
-	out.RunEnds = append(out.RunEnds, RunEnd{
-		RunRef: RunRef{w.id, e.Task, e.Run}, Sequence: e.Sequence, BootTime: w.bootTime, Cause: e.Cause,
-	})
+	out.RunEnds = append(out.RunEnds, RunEnd{RunRef: ref, Sequence: e.Sequence, BootTime: w.bootTime, Cause: e.Cause})
+	// The instance takes progress after the end for that of a run that it must stop.
+	p.progress = slices.DeleteFunc(p.progress, func(other RunProgress) bool { return other.RunRef == ref })
 }
 
 // handleRunEnd processes an owner's report that a run of this instance ended.
@@ -522,7 +526,7 @@
 // addProgress adds a run's progress to what is sent to a peer, in place of an earlier
 // one. Progress alone causes a message only once in progressInterval.
 func (s *Scheduler) addProgress(p *peer, progress RunProgress) {
-	if len(p.progress) == 0 {
+	if !slices.Contains(s.progressPeers, p) {
 		s.progressPeers = append(s.progressPeers, p)
 	}
 	i := slices.IndexFunc(p.progress, func(other RunProgress) bool { return other.RunRef == progress.RunRef })
@@ -550,10 +554,10 @@
 
 // handleRunProgress processes an owner's report that a run of this instance is
 // active.
-func (s *Scheduler) handleRunProgress(e *RunProgress) {
-	r := s.runs[runKey{e.Task, e.Run}]
+func (s *Scheduler) handleRunProgress(owner *peer, e *RunProgress) {
+	r := s.ownRun(e.RunRef)
 	if r == nil {
-		s.emit(Decision{Event: eventer.RunUnknown, Job: e.Task.Job, Task: taskLabel(e.Task), Run: e.Run, Worker: e.Worker})
+		s.disownRun(owner, e.RunRef)
 		return
 	}
 	s.confirmRun(r)
--- a/internal/core/scheduler/poll.go
+++ b/internal/core/scheduler/poll.go
@@ -404,6 +404,7 @@
 	if w.owned {
 		s.observeActiveRuns(w)
 		s.reportOutlivingRuns(w)
+		s.findUnknownRuns(w)
 		s.stopForeignRuns(w)
 		s.sendRunProgress(w)
 		s.requestSizes(w)
@@ -454,14 +455,18 @@
 	s.removeRun(r)
 }
 
-// stopForeignRuns stops the runs of instances that are dead, and those of
-// jobs that were resubmitted to this instance.
+// stopForeignRuns stops the runs of instances that are dead or don't know them, and those
+// of jobs that were resubmitted to this instance.
 func (s *Scheduler) stopForeignRuns(w *worker) {
-	for _, a := range w.foreignRuns {
-		if !s.isDeadTag(a.Run.Tag()) && s.jobsByName[a.Task.Job] == nil {
-			continue
+	for i := range w.foreignRuns {
+		f := &w.foreignRuns[i]
+		if f.unknown || s.isDeadTag(f.Run.Tag()) || s.jobsByName[f.Task.Job] != nil {
+			s.stopForeignRun(w, f)
 		}
-		s.emit(Decision{Event: eventer.RunOrphaned, Job: a.Task.Job, Task: taskLabel(a.Task), Run: a.Run, Worker: w.id})
-		s.emit(Stop{Worker: w.id, Task: a.Task, Run: a.Run})
 	}
 }
+
+func (s *Scheduler) stopForeignRun(w *worker, f *foreignRun) {
+	s.emit(Decision{Event: eventer.RunOrphaned, Job: f.Task.Job, Task: taskLabel(f.Task), Run: f.Run, Worker: w.id})
+	s.emit(Stop{Worker: w.id, Task: f.Task, Run: f.Run})
+}
--- a/internal/core/scheduler/worker.go
+++ b/internal/core/scheduler/worker.go
@@ -121,6 +121,8 @@
 	listed bool
 	// outlives is set once the run was logged as outliving its instance.
 	outlives bool
+	// unknown is set once its own instance is found not to know the run. It is stopped.
+	unknown bool
 	// startableUntil is the end of the lease, on the worker's clock, of a start without a
 	// response; zero if the run is known to exist.
 	startableUntil namer.WorkerClockMillis
