scheduler: stops reach the owner that this instance doesn't know yet

Cause: another owner had claimed the workers, so that they rejected the stop for its fence. The stop, and the request for the new fence, were passed on to the supposed owner alone, which was the frozen one; owners of other domains count as alive for 2.4 s after a relayed state.

Change: stops, requests for a fence and boot times go to all owners of the worker's domain, or to all owners if it has none. Only the owner carries a forwarded stop out.

--- a/internal/core/scheduler/guard.go
+++ b/internal/core/scheduler/guard.go
@@ -203,14 +203,15 @@
 	}
 }
 
-// requestFence asks the owner of a worker for the fence that calls need there.
+// requestFence asks the instances that may own a worker for the fence that calls need there.
 func (s *Scheduler) requestFence(w *worker) {
-	if w.owner == nil || s.now.Sub(w.guard.requestedAt) < fenceRequestPause {
+	if s.now.Sub(w.guard.requestedAt) < fenceRequestPause {
 		return
 	}
 	w.guard.requestedAt = s.now
-	out := s.outboxOf(w.owner)
-	out.FenceRequests = append(out.FenceRequests, w.id)
+	for _, p := range s.possibleOwners(w) {
+		s.askForFence(p, w)
+	}
 }
 
 // handleFenceRequest tells a peer the boot time of a worker, and its fence if this
--- a/internal/core/scheduler/life.go
+++ b/internal/core/scheduler/life.go
@@ -127,11 +127,10 @@
 // tellBootTime tells the owner of a worker of an incarnation that this instance has
 // found, since calls of the owner are rejected from now on.
 func (s *Scheduler) tellBootTime(w *worker) {
-	if w.owned || w.owner == nil {
-		return
+	for _, p := range s.possibleOwners(w) {
+		out := s.outboxOf(p)
+		out.Fences = append(out.Fences, WorkerFence{Worker: w.id, BootTime: w.bootTime})
 	}
-	out := s.outboxOf(w.owner)
-	out.Fences = append(out.Fences, WorkerFence{Worker: w.id, BootTime: w.bootTime})
 }
 
 // recordUnansweredStart records that a start on a worker got no response. sender is the peer
--- a/internal/core/scheduler/ownership.go
+++ b/internal/core/scheduler/ownership.go
@@ -119,6 +119,25 @@
 	return best
 }
 
+// possibleOwners returns the peers one of which owns a worker that this instance doesn't own:
+// the owners in the worker's domain, or all if it has none. The supposed owner may be silent,
+// and another one have taken its place, long before this instance hears of that.
+func (s *Scheduler) possibleOwners(w *worker) []*peer {
+	if w.owned {
+		return nil
+	}
+	var out []*peer
+	for _, p := range s.owners {
+		if p.domain == w.domain {
+			out = append(out, p)
+		}
+	}
+	if len(out) == 0 {
+		return s.owners
+	}
+	return out
+}
+
 // ownerRank is the rank of an instance as owner of a worker. The fields are
 // compared in order.
 type ownerRank struct {
--- a/internal/core/scheduler/peer.go
+++ b/internal/core/scheduler/peer.go
@@ -443,7 +443,7 @@
 		s.handleRunProgress(p, &e.Message.Progress[i])
 	}
 	for _, r := range e.Message.Stops {
-		s.emit(Stop{Worker: r.Worker, Task: r.Task, Run: r.Run})
+		s.handleForwardedStop(r)
 	}
 	for _, id := range e.Message.FenceRequests {
 		s.handleFenceRequest(p, id)
@@ -566,15 +566,22 @@
 	s.recordTimeLeft(r.worker, e)
 }
 
-// forwardStop asks the worker's owner to stop a run, because the stop request
-// of this instance got no response.
+// forwardStop asks the instances that may own a worker to stop a run, because the stop
+// request of this instance was rejected or got no response.
 func (s *Scheduler) forwardStop(r *run) {
-	if owner := r.worker.owner; owner != nil {
-		out := s.outboxOf(owner)
+	for _, p := range s.possibleOwners(r.worker) {
+		out := s.outboxOf(p)
 		out.Stops = append(out.Stops, RunRef{r.worker.id, r.taskID, r.number})
 	}
 }
 
+// handleForwardedStop stops a peer's run on an owned worker.
+func (s *Scheduler) handleForwardedStop(ref RunRef) {
+	if w := s.workers[ref.Worker]; w != nil && w.owned {
+		s.emit(Stop{Worker: w.id, Task: ref.Task, Run: ref.Run})
+	}
+}
+
 // outboxOf returns the message that is sent to a peer at the end of the step.
 func (s *Scheduler) outboxOf(p *peer) *PeerMessage {
 	if p.outbox.isEmpty() && !slices.Contains(s.addressees, p) {
