scheduler: an owner adopts no fence of a peer

Cause: an owner took the fence in a peer's grant for its own calls, and then also for its claim.

Change: a peer's fence is used only for calls to workers that the peer owns. An owner learns from it that the worker is unguarded, and finds out by a rejected call that its claim is lost.

--- a/internal/core/scheduler/guard.go
+++ b/internal/core/scheduler/guard.go
@@ -231,26 +231,27 @@
 	}
 }
 
-// handleFence records the boot time of a worker, and its fence if a peer owns it. That of
-// an owned worker is known better here.
+// handleFence records the boot time of a worker, and its fence if a peer owns it.
 func (s *Scheduler) handleFence(f *WorkerFence) {
 	w := s.workers[f.Worker]
 	if w == nil {
 		return
 	}
 	s.learnBootTime(w, f.BootTime)
-	if !w.owned {
-		s.learnFence(w, f.Fence)
-	}
+	s.learnFence(w, f.Fence)
 }
 
-// learnFence records the fence that calls to a worker need.
+// learnFence records the fence that calls to a worker of a peer need. An owner starts tasks
+// under a fence of its own only: that of a peer which still takes itself for the owner would
+// let both start them.
 func (s *Scheduler) learnFence(w *worker, fence namer.Fence) {
 	if fence <= w.guard.fence || fence.Count() > s.lastRunCount+maxFenceLead {
 		return
 	}
 	s.guardWorker(w)
-	w.guard.fence, w.refusedAt = fence, time.Time{}
+	if !w.owned {
+		w.guard.fence, w.refusedAt = fence, time.Time{}
+	}
 }
 
 // requestSizes asks the instances with runs of unknown size on a worker for these.
--- a/internal/core/scheduler/guard_test.go
+++ b/internal/core/scheduler/guard_test.go
@@ -133,6 +133,50 @@
 	}
 }
 
+// Guards against two owners that start tasks on an unguarded worker under one fence: one that
+// takes the worker over adopted that of the other, whose grants carry it.
+func TestOwnerKeepsItsOwnFence(t *testing.T) {
+	lead := namer.NewFence(maxFenceLead/2, firstPeerTag)
+	grant := MessageReceived{From: "e0", SourceAddr: peerAddr(0), Message: PeerMessage{ReserveResponses: []ReserveResponse{
+		{Task: namer.TaskName{Job: "b"}, Run: 1<<20 | 1, Worker: "w", Fence: lead},
+	}}}
+	told := MessageReceived{From: "e0", SourceAddr: peerAddr(0), Message: PeerMessage{Fences: []WorkerFence{{Worker: "w", Fence: lead}}}}
+	cases := map[string]struct {
+		owned, claimed bool
+		message        Event
+		adopted        bool
+	}{
+		"grant, claimed":               {true, true, grant, false},
+		"grant, claim is on its way":   {true, false, grant, false},
+		"grant, owned by a peer":       {false, false, grant, true},
+		"told, claimed":                {true, true, told, false},
+		"told, claim is on its way":    {true, false, told, false},
+		"told, worker owned by a peer": {false, false, told, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s, now := newOwner()
+			s.learnUnguarded("s", true)
+			fence := claimOf(s.Step(now, 1, nil))
+			w := s.workers["w"]
+			if c.claimed {
+				s.Step(now, 1, []Event{PollResult{Worker: "w", SentAt: now, BootTime: 1, Clock: 2, Fence: fence}})
+			}
+			if !c.owned {
+				s.setOwner(w, s.peers["e0"])
+			}
+			s.handleEvent(c.message)
+			must.Eq(t, c.adopted, w.guard.fence == lead)
+			if c.owned {
+				// The worker has seen the fence of the peer.
+				s.handleEvent(PollResult{Worker: "w", Fence: fence, Fenced: true, NoResponse: true})
+				must.False(t, w.guard.claimed)
+				must.False(t, w.guard.claiming)
+			}
+		})
+	}
+}
+
 // TestUnguardedWorkersTwoFaults checks that late orders and lost answers overload no
 // unguarded worker while its owner changes or two instances take themselves for it. With
 // the flag for all pairs it simulates all pairs of faults.
