driver: an idle instance calls a worker that restarts as often as a busy one

An owner without open calls takes a step each 50 ms, so that a worker whose next incarnation may get a late start was called each 50 ms in place of 25. It takes steps each 10 ms now while it awaits such a restart. TestUnlistedWorkerIsPolledForLateStarts checks when it does.

--- a/internal/core/scheduler/late_start_test.go
+++ b/internal/core/scheduler/late_start_test.go
@@ -75,6 +75,7 @@
 			}
 			pause := longestPollPause(s, now, c.wait)
 			must.Eq(t, c.polled, pause < 2*pollBackoff+unlistedCheck, must.Sprint(pause))
+			must.Eq(t, c.polled, s.AwaitsRestart())
 		})
 	}
 }
--- a/internal/core/scheduler/takeover_test.go
+++ b/internal/core/scheduler/takeover_test.go
@@ -31,7 +31,7 @@
 			w.at(at, owner.kill)
 			w.at(at+time.Second, owner.start)
 		},
-		"an owner is frozen": func(w *simWorld, owner *simInstance, at time.Duration) { owner.freeze(at, 4*time.Second) },
+		"an owner is frozen": func(_ *simWorld, owner *simInstance, at time.Duration) { owner.freeze(at, 4*time.Second) },
 	}
 	for name, disturb := range cases {
 		for seed := range uint64(lateStartDays) {
--- a/internal/edge/driver/driver.go
+++ b/internal/edge/driver/driver.go
@@ -353,7 +353,7 @@
 }
 
 func (d *Driver) stepInterval() time.Duration {
-	if d.sched.Idle() {
+	if d.sched.Idle() && !d.sched.AwaitsRestart() {
 		return idleStepInterval
 	}
 	return busyStepInterval
