--- a/internal/core/scheduler/late_start_test.go
+++ b/internal/core/scheduler/late_start_test.go
@@ -13,10 +13,9 @@
 	firstEntry = WorkerListUpdated{Workers: []WorkerInfo{{
 		ID: "w", Service: "s", Domain: "d0", Capacity: Resources{Cores: 16000, Memory: 1 << 20}, BootTime: firstBoot,
 	}}}
-	removedEntry  = WorkerListUpdated{Workers: []WorkerInfo{{ID: "w", Removed: true}}}
-	orderedStart  = StartResult{Worker: "w", Task: namer.TaskName{Job: "a"}, Run: 1<<20 | 2, Fence: bootFenceAt(firstBoot)}
-	refusedPoll   = PollResult{Worker: "w", NoResponse: true, Refused: true}
-	unlistedCheck = 10 * time.Millisecond
+	removedEntry = WorkerListUpdated{Workers: []WorkerInfo{{ID: "w", Removed: true}}}
+	orderedStart = StartResult{Worker: "w", Task: namer.TaskName{Job: "a"}, Run: 1<<20 | 2, Fence: bootFenceAt(firstBoot)}
+	refusedPoll  = PollResult{Worker: "w", NoResponse: true, Refused: true}
 )
 
 // newOrderingOwner returns the owner of a worker w, which has sent the start of a task of
@@ -36,7 +35,7 @@
 	// The poll before the crash.
 	events := []Event{refusedPoll}
 	for end := now.Add(d); now.Before(end); {
-		now = now.Add(unlistedCheck)
+		now = now.Add(simStepInterval)
 		polls := pollsOf(s.Step(now, lifeWall, events))
 		events = nil
 		for _, poll := range polls {
@@ -74,14 +73,14 @@
 				s.Step(now, lifeWall, []Event{e})
 			}
 			pause := longestPollPause(s, now, c.wait)
-			must.Eq(t, c.polled, pause < 2*pollBackoff+unlistedCheck, must.Sprint(pause))
+			must.Eq(t, c.polled, pause < 2*pollBackoff+simStepInterval, must.Sprint(pause))
 			must.Eq(t, c.polled, s.AwaitsRestart())
 		})
 	}
 }
 
 // Guards against a late start that the next incarnation of a worker accepts because the
-// instance that sent it, or ordered it, isn't the owner any more.
+// instance that sent it, or ordered it, isn't the owner any more or is lost.
 func TestNewOwnerLearnsOfLateStarts(t *testing.T) {
 	peers := []Event{ownerHeartbeat(0, "d0"), ownerHeartbeat(1, "d0")}
 	reported := func(status StartStatus) Event {
@@ -122,6 +121,11 @@
 			must.Eq(t, c.told, addresseesOf(s, func(m *PeerMessage) bool { return len(m.LateStarts) > 0 }))
 		})
 	}
+}
+
+// Guards against a worker that is called for ever, or not for as long as a start may be late,
+// because a peer has told of that start.
+func TestToldLateStartIsAsOldAsItWas(t *testing.T) {
 	s, now := newLifeOwner()
 	w := s.workers["w"]
 	s.handleLateStart(&LateStart{Worker: "w", Age: time.Second})
--- a/internal/core/scheduler/life_test.go
+++ b/internal/core/scheduler/life_test.go
@@ -167,11 +167,13 @@
 // start may be on its way to it.
 func TestRestartingWorkerIsPolledOften(t *testing.T) {
 	cases := map[string]struct {
-		unanswered bool
-		longest    time.Duration
+		unanswered, refused bool
+		longest             time.Duration
 	}{
-		"all starts were answered": {false, maxPollBackoff},
-		"a start got no response":  {true, pollBackoff},
+		"all starts were answered":                           {false, true, maxPollBackoff},
+		"a start got no response":                            {true, true, pollBackoff},
+		"all starts were answered, its machine has no power": {false, false, maxPollBackoff},
+		"a start got no response, its machine has no power":  {true, false, pollBackoff},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -181,7 +183,7 @@
 			}
 			var longest time.Duration
 			for range 8 {
-				s.Step(now, lifeWall, []Event{PollResult{Worker: "w", SentAt: now, NoResponse: true, Refused: true}})
+				s.Step(now, lifeWall, []Event{PollResult{Worker: "w", SentAt: now, NoResponse: true, Refused: c.refused}})
 				longest = max(longest, s.workers["w"].nextPollAt.Sub(now))
 				now = now.Add(maxPollBackoff)
 			}
--- a/internal/core/scheduler/takeover_test.go
+++ b/internal/core/scheduler/takeover_test.go
@@ -135,3 +135,17 @@
 		}
 	}
 }
+
+// Guards against overloads of unguarded workers after an outage, when several instances take
+// themselves for the owner of a worker and one adopts the fence of another.
+func TestOwnersAfterOutageShareNoFence(t *testing.T) {
+	for _, seed := range []uint64{24, 34, 35, 55, 127} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := newUnguardedWorld(seed, true)
+			faults["all instances crash at once"](w, 2*time.Second)
+			w.run(10 * time.Second)
+			must.SliceEmpty(t, w.violations, must.Sprint(w.violations))
+		})
+	}
+}
