--- a/internal/core/scheduler/ownership.go
+++ b/internal/core/scheduler/ownership.go
@@ -119,9 +119,9 @@
 	return best
 }
 
-// possibleOwners returns the peers one of which owns a worker that this instance doesn't own:
-// the owners in the worker's domain, or all if it has none. The supposed owner may be silent,
-// and another one have taken its place, long before this instance hears of that.
+// possibleOwners returns the peers one of which owns a worker, none if this instance does. The
+// supposed owner alone is not enough: it may be silent, and another one have taken its place,
+// long before this instance hears of that.
 func (s *Scheduler) possibleOwners(w *worker) []*peer {
 	if w.owned {
 		return nil
@@ -129,7 +129,8 @@
 	return s.ownersOf(w.domain)
 }
 
-// ownersOf returns the peers that own the workers of a domain.
+// ownersOf returns the peers that own the workers of a domain: its own owners, or all if it has
+// none.
 func (s *Scheduler) ownersOf(d namer.Domain) []*peer {
 	var out []*peer
 	for _, p := range s.owners {
--- a/internal/core/scheduler/unknown_run.go
+++ b/internal/core/scheduler/unknown_run.go
@@ -18,7 +18,8 @@
 	return nil
 }
 
-// disownRun tells the owner of a worker that a run of this instance there must not go on.
+// disownRun tells the owner of a worker that this instance doesn't know a run there that has
+// its run tag. The owner stops it.
 func (s *Scheduler) disownRun(owner *peer, ref RunRef) {
 	out := s.outboxOf(owner)
 	out.UnknownRuns = append(out.UnknownRuns, ref)
